--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration model, its files, its parts and its differences."""
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/configuration/model.py
@@ -0,0 +1,214 @@
+"""Data classes of an accepted configuration; all are immutable."""
+
+from enum import Enum, unique
+
+from attrs import field, frozen
+
+
+@unique
+class CutOffPolicy(Enum):
+    """What keyed requests get in a zone that no withdrawal can reach."""
+
+    REFUSE = 'refuse'
+    SERVE = 'serve'
+
+
+@frozen
+class ShiftCap:
+    """A bound on how much traffic of a service may move at once.
+
+    Attributes:
+        share_ppm: Share of the service's traffic per step, parts per million.
+        step_s: Least time between two steps, seconds.
+    """
+
+    share_ppm: int
+    step_s: int
+
+
+@frozen
+class Route:
+    """A path prefix of a service and how its requests are treated.
+
+    Attributes:
+        prefix: Path below the service, beginning with a slash.
+        methods: Allowed HTTP methods.
+        is_open: Whether no key is needed.
+        is_idempotent: Whether a request may be sent again.
+        may_wait: Whether its traffic yields to other traffic.
+    """
+
+    prefix: str
+    methods: tuple[str, ...]
+    is_open: bool = False
+    is_idempotent: bool = True
+    may_wait: bool = False
+
+
+@frozen
+class Service:
+    """A service that backend servers offer.
+
+    Attributes:
+        name: Name, the first segment of request paths.
+        routes: Routes; the longest matching prefix wins.
+        shift_cap: Cap on moved traffic.
+        lookup_ttl_s: Time that callers may cache a look-up answer, seconds.
+        link_weight: Weight of its traffic on links between regions.
+        progress_timeout_ms: Time without progress after which a connection to
+            a backend server counts as silent, milliseconds.
+    """
+
+    name: str
+    routes: tuple[Route, ...]
+    shift_cap: ShiftCap
+    lookup_ttl_s: int = 5
+    link_weight: int = 1
+    progress_timeout_ms: int = 5000
+
+
+@frozen
+class Region:
+    """A region."""
+
+    name: str
+
+
+@frozen
+class Zone:
+    """An availability zone.
+
+    Attributes:
+        name: Name, unique over all regions.
+        region: Name of its region.
+        slots: Number of entry instances that may hold allowances.
+    """
+
+    name: str
+    region: str
+    slots: int
+
+
+@frozen
+class BackendServer:
+    """A backend server of one service.
+
+    Attributes:
+        name: Unique name.
+        service: Name of its service.
+        zone: Name of its availability zone.
+        address: IP address and port, ``10.0.0.1:8080``.
+        slots: Requests that it runs at once.
+        connections: Connections that it accepts from all daemons together.
+    """
+
+    name: str
+    service: str
+    zone: str
+    address: str
+    slots: int
+    connections: int
+
+
+@frozen
+class Link:
+    """A link between two regions, the same in each direction.
+
+    Attributes:
+        regions: The two region names in alphabetical order.
+        mbit_per_s: Bandwidth each way, Mbit/s.
+        one_way_ms: Delay one way, milliseconds.
+    """
+
+    regions: tuple[str, str]
+    mbit_per_s: int
+    one_way_ms: int
+
+
+@frozen
+class ClientAccount:
+    """A client account and its limits across the whole fleet.
+
+    Attributes:
+        name: Unique name.
+        rate_per_s: Requests a second.
+        burst: Requests at once.
+        cut_off: Policy while no withdrawal can reach the zone.
+    """
+
+    name: str
+    rate_per_s: int
+    burst: int
+    cut_off: CutOffPolicy = CutOffPolicy.REFUSE
+
+
+@frozen
+class Key:
+    """A key of a client account, known by its digest only.
+
+    Attributes:
+        digest: SHA-256 of the key, hexadecimal.
+        account: Name of the client account.
+        label: Name by which operators withdraw it.
+    """
+
+    digest: str
+    account: str
+    label: str
+
+
+@frozen
+class TrafficWeight:
+    """The intended share of a source region's traffic for a destination.
+
+    Attributes:
+        service: Service name.
+        source: Region of the clients.
+        destination: Region that serves them.
+        share_ppm: Parts per million; those of one source sum to a million.
+        failover_ppm: Share that may spill there without a plan step.
+    """
+
+    service: str
+    source: str
+    destination: str
+    share_ppm: int
+    failover_ppm: int = 0
+
+
+@frozen
+class ClientBlock:
+    """A block of client addresses and the region nearest to it.
+
+    Attributes:
+        network: IPv4 network, ``10.1.0.0/16``.
+        region: Region name.
+    """
+
+    network: str
+    region: str
+
+
+@frozen
+class Configuration:
+    """Everything that operators declare.
+
+    Attributes:
+        deployment: Name of the deployment.
+        drained: Names of regions and zones that are being emptied.
+        slot_hold_s: Time after which an unchanged slot claim may be taken
+            over by another address, seconds.
+    """
+
+    deployment: str
+    services: tuple[Service, ...] = ()
+    regions: tuple[Region, ...] = ()
+    zones: tuple[Zone, ...] = ()
+    servers: tuple[BackendServer, ...] = ()
+    links: tuple[Link, ...] = ()
+    accounts: tuple[ClientAccount, ...] = ()
+    keys: tuple[Key, ...] = field(default=(), repr=False)
+    weights: tuple[TrafficWeight, ...] = ()
+    blocks: tuple[ClientBlock, ...] = ()
+    drained: tuple[str, ...] = ()
+    slot_hold_s: int = 86_400
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between daemons."""
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/messages/membership.py
@@ -0,0 +1,61 @@
+"""Messages that tell peers who is there."""
+
+from attrs import frozen
+
+
+@frozen
+class Hello:
+    """The first message on a link, sent by both sides.
+
+    Attributes:
+        instance: Name of the sending instance.
+        zone: Its availability zone.
+        region: Its region.
+        caller_address: Where callers reach it.
+        peer_address: Where peers reach it.
+        incarnation: Random number of this run of the daemon.
+    """
+
+    instance: str
+    zone: str
+    region: str
+    caller_address: str
+    peer_address: str
+    incarnation: int
+
+
+@frozen
+class Heartbeat:
+    """A regular sign of life.
+
+    Attributes:
+        incarnation: Incarnation of the sender.
+        sequence: Number of this heartbeat within the incarnation.
+        revision: Configuration revision in force, 0 for none.
+        slot: Slot held, ``zone/number``, or empty.
+        window: Current request id window of the sender.
+        is_leaving: Whether the sender is shutting down.
+        platform_age_ms: Time since the sender, or a peer that it hears, had
+            contact with the platform, milliseconds; -1 for never.
+    """
+
+    incarnation: int
+    sequence: int
+    revision: int
+    slot: str
+    window: int
+    is_leaving: bool
+    platform_age_ms: int
+
+
+@frozen
+class Failure:
+    """The answer to a request that a peer could not carry out.
+
+    Attributes:
+        code: Result code.
+        detail: One sentence for a person.
+    """
+
+    code: int
+    detail: str
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered events, metrics and the time line of a daemon."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/events.py
@@ -0,0 +1,79 @@
+"""Numbered log events; ``docs/events.md`` is their catalogue."""
+
+from enum import IntEnum, unique
+from typing import Final
+
+from loguru import logger
+
+
+@unique
+class Event(IntEnum):
+    """Numbered events, grouped by hundreds."""
+
+    # Life of the daemon.
+    DAEMON_STARTED = 101
+    DAEMON_LEAVING = 102
+    DAEMON_STOPPED = 103
+    TASK_FAILED = 104
+
+    # Configuration and platform.
+    REVISION_IN_FORCE = 201
+    REVISION_IGNORED = 202
+    CONFIGURATION_REFUSED = 203
+    PLATFORM_LOST = 204
+    PLATFORM_FOUND = 205
+    WATCH_RESTARTED = 206
+
+    # Peers and membership.
+    PEER_CONNECTED = 301
+    PEER_LOST = 302
+    PEER_FRAME_REFUSED = 303
+    ZONE_CUT_OFF = 304
+    ZONE_REJOINED = 305
+
+    # Allowances and slots.
+    SLOT_CLAIMED = 401
+    SLOT_LOST = 402
+    SLOT_RELEASED = 403
+    SLOT_EXPIRED = 404
+    LOAN_REFUSED = 405
+
+    # Requests.
+    REQUEST_REFUSED = 501
+    REQUEST_CUT = 502
+    KEY_WITHDRAWN_STREAM = 503
+    RECORDS_HANDED_OVER = 504
+    RECORDS_RECEIVED = 505
+
+    # Backend servers.
+    BACKEND_EJECTED = 601
+    BACKEND_RESTORED = 602
+    CONNECTION_SILENT = 603
+
+    # Steering.
+    PLAN_PROPOSED = 701
+    PLAN_IN_FORCE = 702
+    PLAN_CONFLICT = 703
+    PLAN_HELD = 704
+
+
+_WARNINGS: Final = frozenset(
+    (
+        Event.TASK_FAILED,
+        Event.CONFIGURATION_REFUSED,
+        Event.PLATFORM_LOST,
+        Event.PEER_FRAME_REFUSED,
+        Event.ZONE_CUT_OFF,
+        Event.SLOT_LOST,
+        Event.SLOT_EXPIRED,
+        Event.CONNECTION_SILENT,
+    )
+)
+
+
+def log_event(event: Event, detail: str = '', **fields: object) -> None:
+    """Write a numbered event to the log; fields never hold a key."""
+    level = 'WARNING' if event in _WARNINGS else 'INFO'
+    logger.bind(event=event.value, **fields).log(
+        level, '{} {} {} {}', event.value, event.name, detail, fields or ''
+    )
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between daemons."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's object API and instance list."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force and its way between daemons."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The demo, the measurements and helpers for developers."""
