--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/caller/__init__.py
@@ -0,0 +1,1 @@
+"""A caller: looks up entry instances and sends requests to them."""
--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/caller/exchange.py
@@ -0,0 +1,121 @@
+"""One HTTP exchange over a connection that is kept open."""
+
+from collections.abc import AsyncIterator, Mapping
+from hashlib import sha256
+
+from attrs import define, field, frozen
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream
+
+MAX_BODY_BYTES = 4_000_000_000
+
+
+@frozen
+class Request:
+    """A request of a caller.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with service and query.
+        headers: Header fields.
+        chunks: Body pieces, or ``None`` for no body.
+        length: Length of the whole body, bytes.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    chunks: AsyncIterator[bytes] | None = None
+    length: int = 0
+
+
+@frozen
+class Answer:
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header fields.
+        body: Body, whole.
+        digest: SHA-256 of the body, hexadecimal.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+    digest: str
+
+
+class CutAnswer(Exception):
+    """The connection ended before the answer was whole."""
+
+
+async def exchange(stream: IOStream, request: Request) -> Answer:
+    """Send a request and return the whole answer.
+
+    Raises:
+        CutAnswer: If the connection ended first.
+    """
+    collector = _Collector()
+    connection = HTTP1Connection(
+        stream,
+        True,
+        HTTP1ConnectionParameters(max_body_size=MAX_BODY_BYTES),
+    )
+    await connection.write_headers(
+        RequestStartLine(request.method, request.path, 'HTTP/1.1'),
+        _headers(request),
+    )
+    if request.chunks is not None:
+        async for chunk in request.chunks:
+            await connection.write(chunk)
+    connection.finish()
+    await connection.read_response(collector)
+    if not collector.is_whole or collector.start is None:
+        stream.close()
+        raise CutAnswer
+    if not stream.closed():
+        connection.detach()
+    return collector.answer()
+
+
+def _headers(request: Request) -> HTTPHeaders:
+    headers = HTTPHeaders(dict(request.headers))
+    headers.setdefault('Host', 'geraniumshelf')
+    if request.chunks is not None or request.method in {'POST', 'PUT'}:
+        headers['Content-Length'] = str(request.length)
+    return headers
+
+
+@define
+class _Collector(HTTPMessageDelegate):
+    start: ResponseStartLine | None = None
+    headers: HTTPHeaders = field(factory=HTTPHeaders)
+    is_whole: bool = False
+    _pieces: list[bytes] = field(factory=list)
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        if isinstance(start_line, ResponseStartLine):
+            self.start = start_line
+            self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self._pieces.append(chunk)
+
+    def finish(self) -> None:
+        self.is_whole = True
+
+    def answer(self) -> Answer:
+        body = b''.join(self._pieces)
+        status = self.start.code if self.start else 0
+        return Answer(status, self.headers, body, sha256(body).hexdigest())
--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Starts daemons and stand-ins as separate processes on loopback."""
