--- a/packages/daemon/src/geraniumshelf_daemon/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/settings.py
@@ -19,6 +19,7 @@
     'region': 'region of the availability zone',
     'caller-address': 'IP:PORT for callers',
     'peer-address': 'IP:PORT for other daemons',
+    'advertised-peer-address': 'IP:PORT that peers dial; default: peer-address',
     'operator-address': 'IP:PORT for operators',
     'platform-url': "URL of the platform's object API",
     'seed-peers': 'peer addresses, comma-separated, tried at start',
@@ -26,6 +27,7 @@
     'log-format': 'text or json',
 }
 _DEFAULTS: Final = {
+    'advertised-peer-address': '',
     'seed-peers': '',
     'statsd-address': '',
     'log-format': 'text',
@@ -53,7 +55,8 @@
         zone: Availability zone.
         region: Region of the zone.
         caller_address: Where callers reach the daemon.
-        peer_address: Where other daemons reach it.
+        peer_address: Where it listens for other daemons.
+        advertised_peer_address: Where other daemons reach it.
         operator_address: Where operators reach it.
         platform_url: Base URL of the platform's object API.
         seed_peers: Peer addresses tried while the platform is down.
@@ -66,6 +69,7 @@
     region: str
     caller_address: Address
     peer_address: Address
+    advertised_peer_address: Address
     operator_address: Address
     platform_url: str
     seed_peers: tuple[Address, ...]
@@ -83,12 +87,15 @@
             value found and what is allowed.
     """
     raw = _Raw(_parser().parse_args(arguments), environment)
+    peer_address = raw.address('peer-address')
+    advertised = raw.optional_address('advertised-peer-address')
     return Settings(
         instance=raw.name('instance'),
         zone=raw.name('zone'),
         region=raw.name('region'),
         caller_address=raw.address('caller-address'),
-        peer_address=raw.address('peer-address'),
+        peer_address=peer_address,
+        advertised_peer_address=advertised or peer_address,
         operator_address=raw.address('operator-address'),
         platform_url=raw.url('platform-url'),
         seed_peers=raw.addresses('seed-peers'),
--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/caller/workload.py
@@ -0,0 +1,97 @@
+"""Open-loop load of several kinds of jobs, bounded in time."""
+
+import asyncio
+import math
+from collections.abc import Sequence
+from random import Random
+
+from attrs import define, field, frozen
+
+from geraniumshelf_core.units import MILLISECOND_NS
+from geraniumshelf_standins.caller.client import Caller, Job, Outcome
+
+
+@frozen
+class Stream:
+    """A stream of like jobs with random arrivals.
+
+    Attributes:
+        name: Name in reports.
+        caller: Who sends them.
+        job: What is sent.
+        rate_per_s: Mean arrivals a second.
+    """
+
+    name: str
+    caller: Caller
+    job: Job
+    rate_per_s: float
+
+
+@frozen
+class Sample:
+    """A finished job of a stream."""
+
+    stream: str
+    outcome: Outcome
+
+
+@define
+class Workload:
+    """Runs streams until a time limit and keeps what came of each job."""
+
+    streams: Sequence[Stream]
+    random: Random
+    samples: list[Sample] = field(factory=list)
+    _running: set[asyncio.Task[None]] = field(factory=set)
+
+    async def run(self, seconds: float) -> None:
+        """Send jobs for some seconds, then wait for their answers."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        await asyncio.gather(
+            *(
+                self._feed(stream, end, Random(self.random.random()))
+                for stream in self.streams
+            )
+        )
+        while self._running:
+            await asyncio.wait(self._running)
+
+    def outcomes(self, stream: str) -> list[Outcome]:
+        """Return the outcomes of a stream, in order of their end."""
+        return [
+            sample.outcome for sample in self.samples if sample.stream == stream
+        ]
+
+    async def _feed(self, stream: Stream, end: float, random: Random) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            due += random.expovariate(stream.rate_per_s)
+            if due >= end:
+                return
+            await asyncio.sleep(max(0, due - loop.time()))
+            task = loop.create_task(self._run_job(stream))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _run_job(self, stream: Stream) -> None:
+        try:
+            outcome = await stream.caller.run(stream.job)
+        except OSError as error:
+            outcome = Outcome(0, 0, 'not-run', '', '', 0, detail=repr(error))
+        self.samples.append(Sample(stream.name, outcome))
+
+
+def percentile(latencies_ns: Sequence[int], share: float) -> float:
+    """Return a percentile in milliseconds, NaN for no latencies.
+
+    >>> percentile([1_000_000, 2_000_000, 3_000_000], 0.5)
+    2.0
+    """
+    if not latencies_ns:
+        return math.nan
+    ordered = sorted(latencies_ns)
+    index = min(len(ordered) - 1, int(share * len(ordered)))
+    return ordered[index] / MILLISECOND_NS
--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/fleet/layout.py
@@ -0,0 +1,72 @@
+"""Where the processes of a deployment listen on this machine."""
+
+from typing import Final
+
+from attrs import frozen
+
+from geraniumshelf_core.configuration.model import Configuration
+
+CALLER_PORT: Final = 18000
+PEER_PORT: Final = 18001
+OPERATOR_PORT: Final = 18002
+PLATFORM_PORT: Final = 18090
+
+_FIRST_INSTANCE: Final = 101
+
+
+@frozen
+class InstancePlace:
+    """An entry instance of the deployment.
+
+    Attributes:
+        name: Instance name.
+        zone: Availability zone.
+        region: Region of the zone.
+        host: Loopback address.
+    """
+
+    name: str
+    zone: str
+    region: str
+    host: str
+
+    @property
+    def caller_address(self) -> str:
+        """Return the address for callers."""
+        return f'{self.host}:{CALLER_PORT}'
+
+    @property
+    def peer_address(self) -> str:
+        """Return the address for other daemons."""
+        return f'{self.host}:{PEER_PORT}'
+
+    @property
+    def operator_address(self) -> str:
+        """Return the address for operators."""
+        return f'{self.host}:{OPERATOR_PORT}'
+
+
+def instance_places(
+    configuration: Configuration, network: int
+) -> tuple[InstancePlace, ...]:
+    """Return a place for each slot of each zone.
+
+    Args:
+        configuration: The deployment.
+        network: Second number of the loopback addresses, ``127.N.x.y``.
+    """
+    return tuple(
+        InstancePlace(
+            f'{zone.name}-{slot}',
+            zone.name,
+            zone.region,
+            f'127.{network}.{index}.{_FIRST_INSTANCE + slot}',
+        )
+        for index, zone in enumerate(configuration.zones, start=1)
+        for slot in range(zone.slots)
+    )
+
+
+def platform_address(network: int) -> str:
+    """Return the address of the platform stand-in."""
+    return f'127.{network}.0.1:{PLATFORM_PORT}'
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,182 @@
+"""Run the Association's deployment under load on this machine."""
+
+import asyncio
+import signal
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+from random import Random
+from time import monotonic
+
+from geraniumshelf_standins.caller.client import Caller, Job, Outcome
+from geraniumshelf_standins.caller.workload import (
+    Stream,
+    Workload,
+    percentile,
+)
+from geraniumshelf_standins.fleet.deployment import place_deployment
+from geraniumshelf_standins.fleet.fleet import Fleet, fetch_json
+
+EXAMPLE = Path(__file__).parent.parent / 'examples' / 'association'
+EXAMPLE_NETWORK = 20
+DEMO_NETWORK = 22
+LOAD_S = 30.0
+UPLOAD_BYTES = 20_000_000
+UPLOAD_BYTES_PER_S = 1_000_000
+WITHDRAWN_LABEL = 'demo-guest'
+DRAINED = 'gondar-a-0'
+
+
+async def run_demo(folder: Path) -> bool:
+    """Run the whole demo; returns whether every condition held."""
+    started = monotonic()
+    fleet = Fleet(
+        place_deployment(EXAMPLE, EXAMPLE_NETWORK, folder, DEMO_NETWORK),
+        folder / 'logs',
+    )
+    try:
+        await fleet.start()
+        report(started, f'{len(fleet.daemons)} daemons are ready')
+        return await run_load(fleet, started)
+    finally:
+        await fleet.end()
+
+
+async def run_load(fleet: Fleet, started: float) -> bool:
+    """Send reads, sales and an upload while a key and a daemon go."""
+    account = fleet.deployment.configuration.accounts[0].name
+    guest_key = (
+        (await fleet.operate('key', 'add', account, WITHDRAWN_LABEL, '--json'))
+        .split('"key": "')[1]
+        .split('"')[0]
+    )
+    random = Random(1)
+    lookups = [place.caller_address for place in fleet.places.values()]
+    callers = [
+        Caller(
+            f'trial-{client.name}',
+            lookups[index:] + lookups[:index],
+            Random(index),
+            client_address=f'127.40.{1 + index % 3}.7',
+        )
+        for index, client in enumerate(fleet.deployment.configuration.accounts)
+    ]
+    guest = Caller(guest_key, lookups, Random(99))
+    workload = Workload(
+        [
+            *(
+                Stream('read', caller, Job('stock-desk', path='/prices'), 8)
+                for caller in callers[:4]
+            ),
+            *(
+                Stream(
+                    'sale',
+                    caller,
+                    Job('sale-book', 'POST', '/sales', b'{"candles": 3}'),
+                    2,
+                )
+                for caller in callers[:4]
+            ),
+            Stream('calendar', callers[0], Job('tazkar-cal'), 2),
+            Stream('guest', guest, Job('stock-desk', path='/prices'), 5),
+        ],
+        random,
+    )
+    upload = Job(
+        'ledger-box',
+        'PUT',
+        '/photos/1',
+        random.randbytes(UPLOAD_BYTES),
+        deadline_s=60.0,
+        pace_bytes_per_s=UPLOAD_BYTES_PER_S,
+    )
+    uploaded, drain_status, _, _ = await asyncio.gather(
+        callers[1].run(upload),
+        drain_daemon(fleet, started),
+        withdraw_key(fleet, started),
+        workload.run(LOAD_S),
+    )
+    return await judge(fleet, workload, uploaded, drain_status)
+
+
+async def withdraw_key(fleet: Fleet, started: float) -> None:
+    """Withdraw the guest's key in the middle of the load."""
+    await asyncio.sleep(LOAD_S / 3)
+    await fleet.operate('key', 'withdraw', WITHDRAWN_LABEL)
+    report(started, f'key {WITHDRAWN_LABEL} is withdrawn')
+
+
+async def drain_daemon(fleet: Fleet, started: float) -> int:
+    """Stop a daemon gracefully in the middle of the load."""
+    await asyncio.sleep(LOAD_S / 2)
+    daemon = fleet.daemons[DRAINED]
+    daemon.send(signal.SIGTERM)
+    report(started, f'{DRAINED} is told to stop')
+    status = await daemon.wait(60)
+    report(started, f'{DRAINED} ended with status {status}')
+    return status
+
+
+async def judge(
+    fleet: Fleet, workload: Workload, uploaded: Outcome, drain_status: int
+) -> bool:
+    """Print what happened and check it against the backends' records."""
+    records = []
+    for server in fleet.deployment.configuration.servers:
+        records += await fetch_json(f'http://{server.address}/-/records') or []
+    runs = Counter(
+        record['id'] for record in records if record['method'] == 'POST'
+    )
+    for stream in ('read', 'sale', 'calendar', 'guest'):
+        print_stream(stream, workload.outcomes(stream))
+    print(
+        f'upload: status {uploaded.status}, '
+        f'{UPLOAD_BYTES} bytes in {uploaded.latency_ns / 1e9:.1f} s'
+    )
+    doubled = [one for one, count in runs.items() if count > 1]
+    lost = [
+        sample.outcome
+        for sample in workload.samples
+        if sample.stream != 'guest' and not sample.outcome.is_served
+    ]
+    for outcome in lost[:5]:
+        print(f'not served: {outcome}')
+    checks = {
+        'no sale ran twice': not doubled,
+        'every request was served': not lost,
+        'the upload is whole': uploaded.is_served,
+        'the drained daemon exited 0': drain_status == 0,
+        'the withdrawn key is refused': any(
+            outcome.status == 401 for outcome in workload.outcomes('guest')
+        ),
+    }
+    for name, is_met in checks.items():
+        print(f'{"ok  " if is_met else "FAIL"} {name}')
+    return all(checks.values())
+
+
+def print_stream(name: str, outcomes: list[Outcome]) -> None:
+    """Print counts and latencies of a stream."""
+    served = [one.latency_ns for one in outcomes if one.is_served]
+    codes = Counter(one.code for one in outcomes if not one.is_served)
+    print(
+        f'{name}: {len(outcomes)} sent, {len(served)} served, '
+        f'p50 {percentile(served, 0.5):.1f} ms, '
+        f'p99 {percentile(served, 0.99):.1f} ms, refused {dict(codes)}'
+    )
+
+
+def report(started: float, text: str) -> None:
+    """Print a line with the seconds since the start."""
+    print(f'{monotonic() - started:6.1f} s  {text}', flush=True)
+
+
+def main() -> int:
+    """Run the demo; returns the exit status."""
+    with tempfile.TemporaryDirectory() as folder:
+        return 0 if asyncio.run(run_demo(Path(folder))) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
