--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/configuration/merge.py
@@ -0,0 +1,129 @@
+"""The rules by which overlays extend the base file."""
+
+from collections.abc import Sequence
+from typing import Any, Final
+
+from attrs import define, field, frozen
+
+from geraniumshelf_core.configuration.documents import Document, Identity
+from geraniumshelf_core.configuration.entries import KINDS
+from geraniumshelf_core.configuration.tables import Table, Where, refusal
+from geraniumshelf_core.errors import ResultCode
+
+_SHOWN_LENGTH: Final = 80
+_SITE_KINDS: Final = frozenset(('zones', 'servers', 'links', 'blocks'))
+
+
+@frozen
+class MergedEntry:
+    """An entry, where it was defined, and the region of the overlay.
+
+    Attributes:
+        where: Place of its definition.
+        entry: The entry.
+        site: Region of the overlay that defined it; empty for the base file.
+    """
+
+    where: Where
+    entry: Any
+    site: str = ''
+
+
+@define
+class Merged:
+    """The entries of all files.
+
+    Attributes:
+        top: Top level of the base file.
+        entries: The entries of each kind.
+    """
+
+    top: Table
+    entries: dict[str, dict[Identity, MergedEntry]] = field(factory=dict)
+
+
+def merge_documents(base: Document, overlays: Sequence[Document]) -> Merged:
+    """Merge overlays into the base.
+
+    Raises:
+        ConfigurationError: ``OVERLAY_CONTRADICTS_BASE``, ``OVERLAYS_CLASH``
+            or the error of a value that cannot be read.
+    """
+    merged = Merged(base.top)
+    for kind, tables in base.entries.items():
+        merged.entries[kind] = {
+            identity: MergedEntry(table.where, KINDS[kind].read(table))
+            for identity, table in tables.items()
+        }
+    for overlay in overlays:
+        _merge_overlay(merged, base, overlay)
+    return merged
+
+
+def _merge_overlay(merged: Merged, base: Document, overlay: Document) -> None:
+    site = overlay.top.name('site')
+    for key in ('deployment', 'slot_hold_s'):
+        _compare_value(base.top, overlay.top, key)
+    for kind, tables in overlay.entries.items():
+        for identity, table in tables.items():
+            stated = base.entries[kind].get(identity)
+            if stated is None:
+                _add(merged.entries[kind], kind, identity, table, site)
+            else:
+                _restate(kind, stated, table)
+
+
+def _restate(kind: str, stated: Table, table: Table) -> None:
+    # An overlay may restate a part of an entry; the rest is the base's.
+    combined = Table(table.where, {**stated.contents, **table.contents})
+    if KINDS[kind].read(combined) == KINDS[kind].read(stated):
+        return
+    for key in table.contents:
+        _compare_value(stated, table, key)
+
+
+def _compare_value(stated: Table, table: Table, key: str) -> None:
+    found = table.contents.get(key)
+    expected = stated.contents.get(key)
+    if found is None or found == expected:
+        return
+    raise refusal(
+        ResultCode.OVERLAY_CONTRADICTS_BASE,
+        table.where,
+        key,
+        found,
+        f'the value of {stated.where.file}, {_printable(table, expected)}',
+    )
+
+
+def _printable(table: Table, expected: object) -> str:
+    if table.where.table.startswith('keys'):
+        return 'which is hidden'
+    return repr(expected)[:_SHOWN_LENGTH]
+
+
+def _add(
+    entries: dict[Identity, MergedEntry],
+    kind: str,
+    identity: Identity,
+    table: Table,
+    site: str,
+) -> None:
+    if kind not in _SITE_KINDS:
+        raise refusal(
+            ResultCode.OVERLAY_CONTRADICTS_BASE,
+            table.where,
+            ', '.join(KINDS[kind].identity),
+            ' '.join(identity),
+            f'entries of the base file, or new {sorted(_SITE_KINDS)}',
+        )
+    added = MergedEntry(table.where, KINDS[kind].read(table), site)
+    known = entries.setdefault(identity, added)
+    if known.entry != added.entry:
+        raise refusal(
+            ResultCode.OVERLAYS_CLASH,
+            table.where,
+            ', '.join(KINDS[kind].identity),
+            added.entry,
+            f'the same as in {known.where.file}, {known.entry}',
+        )
--- a/packages/core/src/geraniumshelf_core/configuration/model.py
+++ b/packages/core/src/geraniumshelf_core/configuration/model.py
@@ -157,6 +157,19 @@
     label: str
 
 
+@frozen
+class WithdrawnKey:
+    """A key that was withdrawn and must never be accepted again.
+
+    Attributes:
+        digest: SHA-256 of the key, hexadecimal.
+        label: Its label until it was withdrawn.
+    """
+
+    digest: str
+    label: str
+
+
 @frozen
 class TrafficWeight:
     """The intended share of a source region's traffic for a destination.
@@ -198,6 +211,9 @@
         drained: Names of regions and zones that are being emptied.
         slot_hold_s: Time after which an unchanged slot claim may be taken
             over by another address, seconds.
+        withdrawn: Keys withdrawn by command; no file can restore them.
+        lowered: Client accounts whose limits were lowered by command; no
+            file can raise them.
     """
 
     deployment: str
@@ -212,3 +228,5 @@
     blocks: tuple[ClientBlock, ...] = ()
     drained: tuple[str, ...] = ()
     slot_hold_s: int = 86_400
+    withdrawn: tuple[WithdrawnKey, ...] = field(default=(), repr=False)
+    lowered: tuple[str, ...] = ()
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/configuration/tables.py
@@ -0,0 +1,172 @@
+"""Typed access to the tables of configuration files."""
+
+import re
+from collections.abc import Mapping
+from enum import Enum
+from typing import Any, Final, TypeVar
+
+from attrs import field, frozen
+
+from geraniumshelf_core.errors import ConfigurationError, ResultCode
+
+NAME_PATTERN: Final = re.compile('[a-z0-9][a-z0-9._-]{0,62}', re.ASCII)
+NAME_RULE: Final = '1 to 63 of a-z, 0-9, dot, underscore and hyphen'
+
+_SHOWN_LENGTH: Final = 80
+_KEYS_TABLE: Final = 'keys'
+
+Choice = TypeVar('Choice', bound=Enum)
+
+
+@frozen
+class Where:
+    """A place in a configuration file.
+
+    Attributes:
+        file: File name.
+        table: Table and entry, ``zones[addis-a]``; ``top level`` for none.
+    """
+
+    file: str
+    table: str
+
+
+def refusal(
+    code: ResultCode, where: Where, key: str, found: object, allowed: str
+) -> ConfigurationError:
+    """Build an error that names the place, the value and what is allowed."""
+    detail = f'found {_show(where, found)}; allowed: {allowed}'
+    return ConfigurationError(
+        code, f'{where.file}: {where.table}: {key}: {detail}'
+    )
+
+
+@frozen
+class Table:
+    """A table of a configuration file.
+
+    Each accessor raises ``ConfigurationError`` with ``MISSING_KEY``,
+    ``WRONG_TYPE`` or ``OUT_OF_RANGE``.
+    """
+
+    where: Where
+    contents: Mapping[str, Any] = field(repr=False)
+
+    def name(self, key: str) -> str:
+        """Return a name."""
+        return self.text(key, NAME_PATTERN, NAME_RULE)
+
+    def text(self, key: str, pattern: re.Pattern[str], rule: str) -> str:
+        """Return a text that matches a pattern."""
+        found = self._get(key, str, 'a text', None)
+        if pattern.fullmatch(found) is None:
+            raise self.out_of_range(key, rule)
+        return str(found)
+
+    def integer(
+        self, key: str, bounds: tuple[int, int], default: int | None = None
+    ) -> int:
+        """Return an integer within inclusive bounds."""
+        low, high = bounds
+        found = self._get(key, int, 'an integer', default)
+        if not low <= found <= high:
+            raise self.out_of_range(key, f'{low} to {high}')
+        return int(found)
+
+    def flag(self, key: str, default: bool) -> bool:
+        """Return a boolean."""
+        return bool(self._get(key, bool, 'true or false', default))
+
+    def choice(self, key: str, default: Choice) -> Choice:
+        """Return a member of the enumeration of the default."""
+        found = self._get(key, str, 'a text', default.value)
+        members = {member.value: member for member in type(default)}
+        if found not in members:
+            raise self.out_of_range(key, ' or '.join(members))
+        return members[found]
+
+    def texts(self, key: str, rule: str) -> tuple[str, ...]:
+        """Return a list of texts that is not empty."""
+        found = self._get(key, list, 'a list of texts', None)
+        if any(type(text) is not str for text in found):
+            raise self._wrong_type(key, 'a list of texts')
+        if not found:
+            raise self.out_of_range(key, rule)
+        return tuple(found)
+
+    def table(self, key: str) -> 'Table':
+        """Return a nested table."""
+        found = self._get(key, dict, 'a table', None)
+        return Table(self._below(key), found)
+
+    def tables(self, key: str) -> tuple['Table', ...]:
+        """Return an array of tables; none if the key is absent."""
+        found = self._get(key, list, 'an array of tables', [])
+        if any(type(table) is not dict for table in found):
+            raise self._wrong_type(key, 'an array of tables')
+        return tuple(
+            Table(self._below(f'{key}[{index}]'), table)
+            for index, table in enumerate(found)
+        )
+
+    def allow_only(self, *known: str) -> None:
+        """Refuse keys that are not known."""
+        for key in self.contents:
+            if key not in known:
+                raise refusal(
+                    ResultCode.UNKNOWN_KEY,
+                    self.where,
+                    _show_key(self.where, key),
+                    self.contents[key],
+                    ', '.join(known),
+                )
+
+    def out_of_range(self, key: str, allowed: str) -> ConfigurationError:
+        """Build the error for a value that is not allowed."""
+        return refusal(
+            ResultCode.OUT_OF_RANGE,
+            self.where,
+            key,
+            self.contents.get(key),
+            allowed,
+        )
+
+    def _get(self, key: str, kind: type, allowed: str, default: Any) -> Any:
+        found = self.contents.get(key, default)
+        if found is None:
+            raise refusal(
+                ResultCode.MISSING_KEY, self.where, key, 'nothing', allowed
+            )
+        if type(found) is not kind:
+            raise self._wrong_type(key, allowed)
+        return found
+
+    def _wrong_type(self, key: str, allowed: str) -> ConfigurationError:
+        return refusal(
+            ResultCode.WRONG_TYPE,
+            self.where,
+            key,
+            self.contents.get(key),
+            allowed,
+        )
+
+    def _below(self, key: str) -> Where:
+        if self.where.table == 'top level':
+            return Where(self.where.file, key)
+        return Where(self.where.file, f'{self.where.table}.{key}')
+
+
+def _show_key(where: Where, key: str) -> str:
+    if where.table.startswith(_KEYS_TABLE):
+        return 'an unknown key'
+    return key if NAME_PATTERN.fullmatch(key) else repr(key)[:_SHOWN_LENGTH]
+
+
+def _show(where: Where, found: object) -> str:
+    # An operator may have pasted a key in the place of its digest.
+    if where.table.startswith(_KEYS_TABLE):
+        return f'a hidden value of type {type(found).__name__}'
+    try:
+        return repr(found)[:_SHOWN_LENGTH]
+    except (ValueError, RecursionError):
+        return f'an unprintable value of type {type(found).__name__}'
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/configuration/validation.py
@@ -0,0 +1,184 @@
+"""Rules that concern several entries of a configuration."""
+
+import ipaddress
+from collections import defaultdict
+from collections.abc import Collection
+from itertools import pairwise
+from typing import Any, Final
+
+from geraniumshelf_core.configuration.merge import Merged, MergedEntry
+from geraniumshelf_core.configuration.tables import Where, refusal
+from geraniumshelf_core.errors import ResultCode
+from geraniumshelf_core.units import PARTS_PER_MILLION
+
+_REFERENCES = (
+    ('zones', 'region', 'regions'),
+    ('servers', 'service', 'services'),
+    ('servers', 'zone', 'zones'),
+    ('keys', 'account', 'accounts'),
+    ('weights', 'service', 'services'),
+    ('weights', 'source', 'regions'),
+    ('weights', 'destination', 'regions'),
+    ('blocks', 'region', 'regions'),
+)
+
+_SHOWN_LENGTH: Final = 120
+
+
+def validate(merged: Merged) -> None:
+    """Check references, duplicates, sites and sums.
+
+    Raises:
+        ConfigurationError: For the first rule that is broken.
+    """
+    for kind, key, target in _REFERENCES:
+        _check_references(merged, kind, key, target)
+    _check_links(merged)
+    _check_sites(merged)
+    _check_unique(merged, 'servers', 'address')
+    _check_unique(merged, 'keys', 'digest')
+    _check_zone_names(merged)
+    _check_prefixes(merged)
+    _check_weights(merged)
+    _check_blocks(merged)
+
+
+def _all(merged: Merged, kind: str) -> Collection[MergedEntry]:
+    return merged.entries[kind].values()
+
+
+def _check_references(merged: Merged, kind: str, key: str, target: str) -> None:
+    for item in _all(merged, kind):
+        _check_reference(merged, item, key, getattr(item.entry, key), target)
+
+
+def _check_reference(
+    merged: Merged, entry: MergedEntry, key: str, found: str, target: str
+) -> None:
+    if (found,) not in merged.entries[target]:
+        known = ', '.join(' '.join(name) for name in merged.entries[target])
+        raise refusal(
+            ResultCode.DANGLING_REFERENCE,
+            entry.where,
+            key,
+            found,
+            f'a name in {target}: {known[:_SHOWN_LENGTH] or "none"}',
+        )
+
+
+def _check_links(merged: Merged) -> None:
+    for item in _all(merged, 'links'):
+        for region in item.entry.regions:
+            _check_reference(merged, item, 'between', region, 'regions')
+
+
+def _check_sites(merged: Merged) -> None:
+    for kind, key in (
+        ('zones', 'region'),
+        ('servers', 'zone'),
+        ('links', 'between'),
+        ('blocks', 'region'),
+    ):
+        for item in _all(merged, kind):
+            if item.site:
+                _check_site(merged, item, kind, key)
+
+
+def _check_site(
+    merged: Merged, entry: MergedEntry, kind: str, key: str
+) -> None:
+    if entry.site not in _regions_of(merged, kind, entry.entry):
+        raise refusal(
+            ResultCode.OUT_OF_RANGE,
+            entry.where,
+            key,
+            _regions_of(merged, kind, entry.entry),
+            f'the site of the overlay, {entry.site}',
+        )
+
+
+def _regions_of(merged: Merged, kind: str, entry: Any) -> tuple[str, ...]:
+    match kind:
+        case 'links':
+            return tuple(entry.regions)
+        case 'servers':
+            return (merged.entries['zones'][(entry.zone,)].entry.region,)
+        case _:
+            return (entry.region,)
+
+
+def _check_unique(merged: Merged, kind: str, key: str) -> None:
+    seen: dict[str, MergedEntry] = {}
+    for item in _all(merged, kind):
+        first = seen.setdefault(getattr(item.entry, key), item)
+        if first is not item:
+            raise _duplicate(item.where, key, getattr(item.entry, key), first)
+
+
+def _check_zone_names(merged: Merged) -> None:
+    # A drain names a region or a zone, so one name must not mean both.
+    for identity, zone in merged.entries['zones'].items():
+        region = merged.entries['regions'].get(identity)
+        if region is not None:
+            raise _duplicate(zone.where, 'name', identity[0], region)
+
+
+def _check_prefixes(merged: Merged) -> None:
+    for service in _all(merged, 'services'):
+        prefixes = [route.prefix for route in service.entry.routes]
+        for index, prefix in enumerate(prefixes):
+            if prefix in prefixes[:index]:
+                raise _duplicate(service.where, 'prefix', prefix, service)
+
+
+def _check_weights(merged: Merged) -> None:
+    sums: defaultdict[tuple[str, str], int] = defaultdict(int)
+    for weight in _all(merged, 'weights'):
+        entry = weight.entry
+        sums[entry.service, entry.source] += entry.share_ppm
+    for service in _all(merged, 'services'):
+        for region in _all(merged, 'regions'):
+            names = (service.entry.name, region.entry.name)
+            _check_sum(service, ' '.join(names), sums[names])
+
+
+def _check_sum(service: MergedEntry, source: str, found: int) -> None:
+    if found != PARTS_PER_MILLION:
+        raise refusal(
+            ResultCode.OUT_OF_RANGE,
+            Where(service.where.file, f'weights[{source}]'),
+            'share_ppm',
+            f'a sum of {found}',
+            f'a sum of {PARTS_PER_MILLION} for each service and source',
+        )
+
+
+def _check_blocks(merged: Merged) -> None:
+    spans = sorted(
+        (_span(block.entry.network), identity)
+        for identity, block in merged.entries['blocks'].items()
+    )
+    blocks = merged.entries['blocks']
+    for (earlier, first), (later, second) in pairwise(spans):
+        if later[0] <= earlier[1]:
+            raise _duplicate(
+                blocks[second].where, 'network', second[0], blocks[first]
+            )
+
+
+def _span(network: str) -> tuple[int, int]:
+    parsed = ipaddress.IPv4Network(network)
+    return int(parsed.network_address), int(parsed.broadcast_address)
+
+
+def _duplicate(
+    where: Where, key: str, found: str, first: MergedEntry
+) -> Exception:
+    place = f'{first.where.file}: {first.where.table}'
+    return refusal(
+        ResultCode.DUPLICATE_NAME,
+        where,
+        key,
+        found,
+        f'a value that is not in use by {place}',
+    )
--- a/packages/core/src/geraniumshelf_core/errors.py
+++ b/packages/core/src/geraniumshelf_core/errors.py
@@ -29,6 +29,8 @@
     OBJECT_TOO_LARGE = 1010
     LIMIT_LOWERED = 1011
     DAMAGED_PART = 1012
+    WITHDRAWN_KEY_RESTATED = 1013
+    LOWERED_LIMIT_RAISED = 1014
 
     # Requests of callers.
     MALFORMED_REQUEST = 2001
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Keys of client accounts."""
