Add the operators' command line

Operators need to check, compare and apply files, and to change keys, limits and drains without files.

--- /dev/null
+++ b/packages/cli/src/geraniumshelf_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of operators, grouped by what they act on."""
--- /dev/null
+++ b/packages/cli/src/geraniumshelf_cli/publishing.py
@@ -0,0 +1,286 @@
+"""Reading and replacing the configuration in the platform."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from enum import Enum, unique
+from typing import Final
+
+from attrs import field, frozen
+
+from geraniumshelf_cli.reports import change_lines
+from geraniumshelf_core.configuration.difference import Change, difference
+from geraniumshelf_core.configuration.head import (
+    HEAD_NAME,
+    PART_PREFIX,
+    RECENT_APPLY_IDS,
+    Head,
+    decode_head,
+    encode_head,
+    expired_parts,
+    next_head,
+)
+from geraniumshelf_core.configuration.identity import in_order
+from geraniumshelf_core.configuration.model import Configuration
+from geraniumshelf_core.configuration.parts import join_parts, split_parts
+from geraniumshelf_core.errors import (
+    ConfigurationError,
+    GeraniumshelfError,
+    OperatorError,
+    PlatformError,
+    ResultCode,
+)
+from geraniumshelf_daemon.platform.interface import Platform, StoredObject
+
+EMPTY: Final = Configuration('none')
+
+_APPLY_ID_BYTES: Final = 12
+_OBJECT_LIMIT_BYTES: Final = 1_000_000
+_EDIT_ATTEMPTS: Final = 16
+
+
+@unique
+class _Outcome(Enum):
+    IN_FORCE = 'in force'
+    LOST_RACE = 'lost race'
+    UNKNOWN = 'unknown'
+
+
+@frozen
+class Stored:
+    """The configuration in force as read from the platform.
+
+    Attributes:
+        version: Version of the head object, 0 before the first apply.
+        head: The head.
+        configuration: The configuration, ``None`` before the first apply.
+    """
+
+    version: int = 0
+    head: Head = field(factory=Head)
+    configuration: Configuration | None = None
+
+
+@frozen
+class Published:
+    """A change that is in force.
+
+    Attributes:
+        revision: Its revision.
+        apply_id: Id under which it was applied; empty if nothing changed.
+        changes: What it changed.
+        is_cleaned: Whether old parts were deleted.
+    """
+
+    revision: int
+    apply_id: str
+    changes: tuple[Change, ...]
+    is_cleaned: bool = True
+
+
+@frozen
+class Publisher:
+    """Replaces the configuration under conditional updates.
+
+    Attributes:
+        platform: The platform.
+        attempts: Attempts to settle an update whose answer was lost.
+        wait_s: Time between two attempts, seconds.
+    """
+
+    platform: Platform
+    attempts: int = 10
+    wait_s: float = 0.5
+
+    async def read(self) -> Stored:
+        """Read the configuration in force.
+
+        Raises:
+            PlatformError: If the platform cannot be read.
+            ConfigurationError: ``DAMAGED_PART``.
+        """
+        stored = await self._get(HEAD_NAME)
+        if stored is None:
+            return Stored()
+        head = decode_head(stored.content or b'')
+        parts = {}
+        for digest in head.digests:
+            part = await self._get(PART_PREFIX + digest)
+            if part is not None:
+                parts[digest] = part.content or b''
+        return Stored(stored.version, head, join_parts(head.digests, parts))
+
+    async def apply(self, stored: Stored, wanted: Configuration) -> Published:
+        """Put a configuration in the place of the one that was read.
+
+        Raises:
+            OperatorError: ``APPLY_CONFLICT`` if another change came first,
+                ``APPLY_UNKNOWN`` if the outcome could not be read back.
+            PlatformError: If the platform failed before the head was sent.
+        """
+        published = await self._replace(stored, wanted)
+        if published is not None:
+            return published
+        raise OperatorError(
+            ResultCode.APPLY_CONFLICT,
+            'another change came first; nothing of this apply is in force; '
+            f'{await self._describe_winner(stored)}',
+        )
+
+    async def edit(
+        self, change: Callable[[Configuration], Configuration]
+    ) -> Published:
+        """Apply an edit, again after each lost race.
+
+        Raises:
+            OperatorError: As for ``apply``; ``NOT_FOUND`` before the first.
+        """
+        for _ in range(_EDIT_ATTEMPTS):
+            stored = await self.read()
+            if stored.configuration is None:
+                raise OperatorError(
+                    ResultCode.NOT_FOUND, 'no configuration was applied yet'
+                )
+            published = await self._replace(
+                stored, change(stored.configuration)
+            )
+            if published is not None:
+                return published
+        raise OperatorError(
+            ResultCode.APPLY_CONFLICT,
+            f'{_EDIT_ATTEMPTS} other changes came first; nothing was changed',
+        )
+
+    async def _describe_winner(self, stored: Stored) -> str:
+        try:
+            winner = await self.read()
+        except GeraniumshelfError as error:
+            return f'its differences could not be read: {error}'
+        changes = difference(
+            stored.configuration or EMPTY, winner.configuration or EMPTY
+        )
+        lines = '; '.join(change_lines(changes))
+        return f'revision {winner.head.revision}: {lines}'
+
+    async def _replace(
+        self, stored: Stored, wanted: Configuration
+    ) -> Published | None:
+        wanted = in_order(wanted)
+        changes = difference(stored.configuration or EMPTY, wanted)
+        if stored.configuration is not None and not changes:
+            return Published(stored.head.revision, '', ())
+        apply_id = secrets.token_hex(_APPLY_ID_BYTES)
+        parts = split_parts(wanted)
+        head = next_head(stored.head, parts, apply_id)
+        encoded = _encode_bounded(head)
+        added = {
+            PART_PREFIX + digest: part
+            for digest, part in parts.items()
+            if digest not in stored.head.digests
+        }
+        await self._write_parts(added)
+        match await self._replace_head(stored.version, encoded, head):
+            case _Outcome.LOST_RACE:
+                return None
+            case _Outcome.UNKNOWN:
+                raise _unknown(head)
+        is_cleaned = await self._clean_up(stored.head, head, added)
+        return Published(head.revision, apply_id, changes, is_cleaned)
+
+    async def _write_parts(self, parts: dict[str, bytes]) -> None:
+        for name, part in parts.items():
+            await self.platform.put(name, part, None)
+
+    async def _replace_head(
+        self, version: int, encoded: bytes, head: Head
+    ) -> _Outcome:
+        for _ in range(self.attempts):
+            try:
+                await self.platform.put(HEAD_NAME, encoded, version)
+            except PlatformError:
+                outcome = await self._settle(version, head)
+            else:
+                return _Outcome.IN_FORCE
+            if outcome is not None:
+                return outcome
+            await asyncio.sleep(self.wait_s)
+        return _Outcome.UNKNOWN
+
+    async def _settle(self, version: int, sent: Head) -> _Outcome | None:
+        # While the version is unchanged the update may still arrive, but it
+        # can arrive only once; sending it again under the same condition is
+        # safe. Once the version has moved, an update that is not in the list
+        # of applies can no longer take effect.
+        try:
+            stored = await self._get(HEAD_NAME)
+        except PlatformError:
+            return None
+        found = Head()
+        current = 0
+        if stored is not None:
+            found = decode_head(stored.content or b'')
+            current = stored.version
+        if sent.recent_apply_ids[-1] in found.recent_apply_ids:
+            return _Outcome.IN_FORCE
+        if version == current:
+            return None
+        if found.revision >= sent.revision + RECENT_APPLY_IDS:
+            return _Outcome.UNKNOWN
+        return _Outcome.LOST_RACE
+
+    async def _clean_up(
+        self, old: Head, new: Head, added: dict[str, bytes]
+    ) -> bool:
+        # Another operator's clean-up may have deleted a part that this head
+        # uses again. Writing it after the head changes its version, so that
+        # a clean-up that began before fails on its condition.
+        try:
+            await self._write_parts(added)
+            for digest in expired_parts(old, new):
+                await self._delete_unused(digest)
+        except PlatformError:
+            return False
+        return True
+
+    async def _delete_unused(self, digest: str) -> None:
+        part = await self._get(PART_PREFIX + digest)
+        stored = await self._get(HEAD_NAME)
+        if part is None or stored is None:
+            return
+        head = decode_head(stored.content or b'')
+        retired = {part.digest for part in head.retired}
+        if digest in head.digests or digest in retired:
+            return
+        try:
+            await self.platform.delete(part.name, part.version)
+        except PlatformError as error:
+            if error.code is not ResultCode.VERSION_CONFLICT:
+                raise
+
+    async def _get(self, name: str) -> StoredObject | None:
+        try:
+            return await self.platform.get(name)
+        except PlatformError as error:
+            if error.code is ResultCode.OBJECT_MISSING:
+                return None
+            raise
+
+
+def _encode_bounded(head: Head) -> bytes:
+    encoded = encode_head(head)
+    if len(encoded) > _OBJECT_LIMIT_BYTES:
+        raise ConfigurationError(
+            ResultCode.OBJECT_TOO_LARGE,
+            f'{HEAD_NAME}: found {len(encoded)} bytes; '
+            f'allowed: {_OBJECT_LIMIT_BYTES}',
+        )
+    return encoded
+
+
+def _unknown(head: Head) -> OperatorError:
+    return OperatorError(
+        ResultCode.APPLY_UNKNOWN,
+        f'whether revision {head.revision} of apply '
+        f'{head.recent_apply_ids[-1]} took effect could not be read back; '
+        'read the configuration with `get` before trying again',
+    )
--- /dev/null
+++ b/tests/cli/test_runner.py
@@ -0,0 +1,146 @@
+"""Guards the commands, their exit codes and what an apply keeps."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from tests.cli.memory_platform import MemoryPlatform
+
+from geraniumshelf_cli.exits import ExitCode
+from geraniumshelf_cli.main import main
+from geraniumshelf_cli.runner import run_command
+from geraniumshelf_cli.session import Session
+from geraniumshelf_core.keys.digests import digest_key
+
+Run = Callable[..., tuple[int, Any]]
+
+_FOLDER = Path(__file__).parents[2] / 'examples/association'
+_OVERLAYS = [str(path) for path in sorted(_FOLDER.glob('overlays/*'))]
+_FILES = (str(_FOLDER / 'base.toml'), '--overlay', *_OVERLAYS)
+
+
+@pytest.fixture
+def platform() -> MemoryPlatform:
+    """Return an empty platform."""
+    return MemoryPlatform()
+
+
+@pytest.fixture
+def run(platform: MemoryPlatform, capsys: pytest.CaptureFixture[str]) -> Run:
+    """Return a function that runs a command and decodes its JSON."""
+
+    def run_json(*arguments: str) -> tuple[int, Any]:
+        code = run_command(
+            [*arguments, '--json'],
+            {'GERANIUMSHELF_PLATFORM_URL': 'http://127.0.0.1:1'},
+            lambda url: Session(url, lambda _: platform, wait_s=0),
+        )
+        printed = capsys.readouterr()
+        return code, json.loads(printed.out) if printed.out else printed.err
+
+    return run_json
+
+
+def _edited(folder: Path, old: str, new: str) -> tuple[str, ...]:
+    text = Path(_FILES[0]).read_text().replace(old, new)
+    (folder / 'base.toml').write_text(text)
+    return (str(folder / 'base.toml'), *_FILES[1:])
+
+
+def test_check_prints_text(capsys: pytest.CaptureFixture[str]) -> None:
+    """An operator without the platform must be able to check files."""
+    assert main(['check', *_FILES]) == ExitCode.DONE
+    assert 'servers: 24' in capsys.readouterr().out
+    assert main(['check', 'missing.toml']) == ExitCode.USAGE
+    assert 'FILE_UNREADABLE' in capsys.readouterr().err
+    assert main(['status']) == ExitCode.USAGE
+
+
+def test_apply_needs_the_revision_in_force(run: Run) -> None:
+    """An edit of an old revision would undo what came after it."""
+    assert run('apply', *_FILES, '--from-revision', '0')[0] == ExitCode.DONE
+    code, answer = run('apply', *_FILES, '--from-revision', '0')
+    assert (code, answer['name']) == (ExitCode.CONFLICT, 'APPLY_CONFLICT')
+    code, answer = run('apply', *_FILES, '--from-revision', '1')
+    assert (code, answer['revision']) == (ExitCode.DONE, 1)
+
+
+def test_apply_keeps_what_commands_have_set(run: Run, tmp_path: Path) -> None:
+    """A file must not silently undo a command."""
+    run('apply', *_FILES, '--from-revision', '0')
+    _, added = run('key', 'add', 'auditors', 'second')
+    run('limit', 'raise', 'auditors', '--rate', '9')
+    run('drain', 'addis-a')
+    code, answer = run('apply', *_FILES, '--from-revision', '4')
+    assert (code, answer['name']) == (ExitCode.LIMIT, 'LIMIT_LOWERED')
+    files = _edited(tmp_path, 'rate_per_s = 8\n', 'rate_per_s = 10\n')
+    code, answer = run('apply', *files, '--from-revision', '4')
+    assert (code, answer['changes'][0]['name']) == (0, 'auditors')
+    _, answer = run('get')
+    assert answer['configuration']['drained'] == ['addis-a']
+    labels = {key['label'] for key in answer['configuration']['keys']}
+    assert 'second' in labels
+    assert added['key'] not in json.dumps(answer)
+
+
+def test_lowering_needs_the_current_value(run: Run) -> None:
+    """A limit must never be lowered by mistake."""
+    run('apply', *_FILES, '--from-revision', '0')
+    raising = ('limit', 'raise', 'auditors', '--rate', '7')
+    assert run(*raising)[0] == ExitCode.LIMIT
+    lower = ('limit', 'lower', 'auditors', '--rate', '7')
+    assert run(*lower)[0] == ExitCode.USAGE
+    assert run(*lower, '--current-rate', '9')[0] == ExitCode.CONFLICT
+    assert run(*lower, '--current-rate', '8')[0] == ExitCode.DONE
+    code, answer = run('apply', *_FILES, '--from-revision', '2')
+    assert (code, answer['name']) == (ExitCode.LIMIT, 'LOWERED_LIMIT_RAISED')
+    assert run('limit', 'raise', 'auditors', '--rate', '8')[0] == ExitCode.DONE
+    assert run('apply', *_FILES, '--from-revision', '3')[0] == ExitCode.DONE
+
+
+def test_account_cannot_be_dropped(run: Run, tmp_path: Path) -> None:
+    """A dropped account loses its whole limit."""
+    run('apply', *_FILES, '--from-revision', '0')
+    files = _edited(tmp_path, '"auditors"', '"others"')
+    code, answer = run('apply', *files, '--from-revision', '1')
+    assert (code, answer['name']) == (ExitCode.LIMIT, 'LIMIT_LOWERED')
+
+
+def test_withdrawn_key_cannot_return(run: Run) -> None:
+    """A file that still lists a withdrawn key must not restore it."""
+    run('apply', *_FILES, '--from-revision', '0')
+    assert run('key', 'withdraw', 'auditors-trial')[0] == ExitCode.DONE
+    code, answer = run('apply', *_FILES, '--from-revision', '2')
+    assert code == ExitCode.REFUSED
+    assert answer['name'] == 'WITHDRAWN_KEY_RESTATED'
+    assert run('key', 'withdraw', 'unknown')[0] == ExitCode.NOT_FOUND
+
+
+def test_key_is_stored_as_its_digest(
+    run: Run, platform: MemoryPlatform
+) -> None:
+    """Whoever reads the store must not learn keys."""
+    run('apply', *_FILES, '--from-revision', '0')
+    _, answer = run('key', 'add', 'auditors', 'second')
+    stored = b''.join(o.content or b'' for o in platform.objects.values())
+    assert answer['key'].encode() not in stored
+    assert digest_key(answer['key']).encode() in stored
+
+
+def test_slot_is_freed_once(run: Run, platform: MemoryPlatform) -> None:
+    """A free slot must be told from a claimed one."""
+    asyncio.run(platform.put('slots/addis-a/0', b'claim', 0))
+    assert run('slot', 'free', 'addis-a', '0')[0] == ExitCode.DONE
+    assert run('slot', 'free', 'addis-a', '0')[0] == ExitCode.NOT_FOUND
+
+
+def test_unreachable_platform_has_its_exit_code(
+    run: Run, platform: MemoryPlatform
+) -> None:
+    """A script must tell an outage from a refusal."""
+    platform.is_readable = False
+    assert run('get')[0] == ExitCode.PLATFORM
+    assert run('apply', *_FILES, '--from-revision', '0')[0] == ExitCode.PLATFORM
