Settle applies by newer answers only and document the commands

A stale or damaged answer to the read-back made an apply that was in force look like a lost race or a refusal; two tests failed on it first.

--- a/packages/cli/src/geraniumshelf_cli/publishing.py
+++ b/packages/cli/src/geraniumshelf_cli/publishing.py
@@ -36,6 +36,7 @@
 
 _APPLY_ID_BYTES: Final = 12
 _OBJECT_LIMIT_BYTES: Final = 1_000_000
+_READS_AT_ONCE: Final = 16
 _EDIT_ATTEMPTS: Final = 16
 
 
@@ -99,16 +100,18 @@
             PlatformError: If the platform cannot be read.
             ConfigurationError: ``DAMAGED_PART``.
         """
-        stored = await self._get(HEAD_NAME)
-        if stored is None:
+        version, head = await self._read_head()
+        if not version:
             return Stored()
-        head = decode_head(stored.content or b'')
-        parts = {}
-        for digest in head.digests:
-            part = await self._get(PART_PREFIX + digest)
-            if part is not None:
-                parts[digest] = part.content or b''
-        return Stored(stored.version, head, join_parts(head.digests, parts))
+        parts: dict[str, bytes] = {}
+        for first in range(0, len(head.digests), _READS_AT_ONCE):
+            digests = head.digests[first : first + _READS_AT_ONCE]
+            names = [PART_PREFIX + digest for digest in digests]
+            found = await asyncio.gather(*map(self._get, names))
+            for digest, part in zip(digests, found, strict=True):
+                if part is not None:
+                    parts[digest] = part.content or b''
+        return Stored(version, head, join_parts(head.digests, parts))
 
     async def apply(self, stored: Stored, wanted: Configuration) -> Published:
         """Put a configuration in the place of the one that was read.
@@ -212,22 +215,24 @@
         # safe. Once the version has moved, an update that is not in the list
         # of applies can no longer take effect.
         try:
-            stored = await self._get(HEAD_NAME)
-        except PlatformError:
+            current, found = await self._read_head()
+        except GeraniumshelfError:
             return None
-        found = Head()
-        current = 0
-        if stored is not None:
-            found = decode_head(stored.content or b'')
-            current = stored.version
         if sent.recent_apply_ids[-1] in found.recent_apply_ids:
             return _Outcome.IN_FORCE
-        if version == current:
+        if current <= version:
+            # Unchanged, or an old answer of a store that lags.
             return None
         if found.revision >= sent.revision + RECENT_APPLY_IDS:
             return _Outcome.UNKNOWN
         return _Outcome.LOST_RACE
 
+    async def _read_head(self) -> tuple[int, Head]:
+        stored = await self._get(HEAD_NAME)
+        if stored is None:
+            return 0, Head()
+        return stored.version, decode_head(stored.content or b'')
+
     async def _clean_up(
         self, old: Head, new: Head, added: dict[str, bytes]
     ) -> bool:
@@ -238,17 +243,16 @@
             await self._write_parts(added)
             for digest in expired_parts(old, new):
                 await self._delete_unused(digest)
-        except PlatformError:
+        except GeraniumshelfError:
             return False
         return True
 
     async def _delete_unused(self, digest: str) -> None:
         part = await self._get(PART_PREFIX + digest)
-        stored = await self._get(HEAD_NAME)
-        if part is None or stored is None:
+        _, head = await self._read_head()
+        if part is None:
             return
-        head = decode_head(stored.content or b'')
-        retired = {part.digest for part in head.retired}
+        retired = {old.digest for old in head.retired}
         if digest in head.digests or digest in retired:
             return
         try:
--- a/tests/cli/memory_platform.py
+++ b/tests/cli/memory_platform.py
@@ -22,7 +22,8 @@
             ``dropped`` for a write that never arrives.
         before_head: Runs once before the next write of the head.
         after_lost: Runs once after the next write whose answer is lost.
-        is_readable: Whether reads of the head succeed.
+        is_readable: Whether reads succeed.
+        stale: Old objects that coming reads return.
     """
 
     objects: dict[str, StoredObject] = field(factory=dict)
@@ -30,11 +31,14 @@
     before_head: Callable[[], Awaitable[None]] | None = None
     after_lost: Callable[[], Awaitable[None]] | None = None
     is_readable: bool = True
+    stale: list[StoredObject] = field(factory=list)
     version: int = 0
 
     async def get(self, name: str) -> StoredObject:
         if not self.is_readable:
             raise _unreachable()
+        if self.stale:
+            return self.stale.pop()
         if name not in self.objects:
             raise PlatformError(ResultCode.OBJECT_MISSING, name)
         return self.objects[name]
--- a/tests/cli/test_publishing.py
+++ b/tests/cli/test_publishing.py
@@ -84,6 +84,27 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('content', [None, b'damaged'])
+def test_stale_or_damaged_answer_is_no_lost_race(
+    platform: MemoryPlatform, content: bytes | None
+) -> None:
+    """An old head must not make an apply in force look like a lost race."""
+
+    async def scenario() -> None:
+        publisher = await _start(platform)
+        old = platform.objects['config/head']
+        await _add(publisher, 2)
+
+        async def answer_stale() -> None:
+            platform.stale = [evolve(old, content=content or old.content)]
+
+        platform.faults = ['lost']
+        platform.after_lost = answer_stale
+        assert (await _apply(publisher, 1)).revision == 3
+
+    asyncio.run(scenario())
+
+
 def test_lost_race_is_a_conflict_with_differences(
     platform: MemoryPlatform,
 ) -> None:
--- a/tests/cli/test_runner.py
+++ b/tests/cli/test_runner.py
@@ -144,3 +144,10 @@
     platform.is_readable = False
     assert run('get')[0] == ExitCode.PLATFORM
     assert run('apply', *_FILES, '--from-revision', '0')[0] == ExitCode.PLATFORM
+
+
+def test_exit_codes_are_documented() -> None:
+    """Scripts of operators rely on the table."""
+    text = (_FOLDER.parents[1] / 'docs/operate.md').read_text()
+    for code in ExitCode:
+        assert f'| {code.value} | `{code.name}` |' in text
