Refuse forgotten overlays and say what an interruption leaves open

An apply without an overlay would have removed all zones of its region, and an interrupted command ended with a stack trace.

--- a/packages/cli/src/geraniumshelf_cli/publishing.py
+++ b/packages/cli/src/geraniumshelf_cli/publishing.py
@@ -194,6 +194,14 @@
         for name, part in parts.items():
             await self.platform.put(name, part, None)
 
+    async def _write_parts_again(self, parts: dict[str, bytes]) -> None:
+        for _ in range(self.attempts):
+            try:
+                return await self._write_parts(parts)
+            except PlatformError:
+                await asyncio.sleep(self.wait_s)
+        await self._write_parts(parts)
+
     async def _replace_head(
         self, version: int, encoded: bytes, head: Head
     ) -> _Outcome:
@@ -240,7 +248,7 @@
         # uses again. Writing it after the head changes its version, so that
         # a clean-up that began before fails on its condition.
         try:
-            await self._write_parts(added)
+            await self._write_parts_again(added)
             for digest in expired_parts(old, new):
                 await self._delete_unused(digest)
         except GeraniumshelfError:
--- a/packages/cli/src/geraniumshelf_cli/runner.py
+++ b/packages/cli/src/geraniumshelf_cli/runner.py
@@ -10,7 +10,11 @@
 from geraniumshelf_cli.exits import exit_code
 from geraniumshelf_cli.reports import Report, render_error
 from geraniumshelf_cli.session import Session
-from geraniumshelf_core.errors import GeraniumshelfError
+from geraniumshelf_core.errors import (
+    GeraniumshelfError,
+    OperatorError,
+    ResultCode,
+)
 
 MakeSession = Callable[[str], Session]
 
@@ -39,10 +43,19 @@
         report: Report = asyncio.run(arguments.run(arguments, session))
     except GeraniumshelfError as error:
         return _print_error(error, arguments)
+    except KeyboardInterrupt:
+        return _print_error(_interrupted(), arguments)
     sys.stdout.write(f'{report.render(as_json=arguments.json)}\n')
     return report.exit_code.value
 
 
+def _interrupted() -> OperatorError:
+    return OperatorError(
+        ResultCode.APPLY_UNKNOWN,
+        'interrupted; a change that was sent may take effect, see `get`',
+    )
+
+
 def _fill_daemons(arguments: Namespace) -> None:
     if 'known_daemons' in arguments and not arguments.daemon:
         arguments.daemon = arguments.known_daemons
--- a/packages/core/src/geraniumshelf_core/configuration/reader.py
+++ b/packages/core/src/geraniumshelf_core/configuration/reader.py
@@ -46,8 +46,19 @@
 
 
 def _check_overlay_sites(merged: Merged, overlays: Sequence[Document]) -> None:
+    files: dict[str, str] = {}
     for overlay in overlays:
         site = overlay.top.name(_SITE)
+        known = files.get(site)
+        if known is not None:
+            raise refusal(
+                ResultCode.DUPLICATE_NAME,
+                overlay.top.where,
+                _SITE,
+                site,
+                f'a site that has no overlay yet; {known} is one',
+            )
+        files[site] = overlay.top.where.file
         if (site,) not in merged.entries['regions']:
             raise refusal(
                 ResultCode.DANGLING_REFERENCE,
--- a/packages/core/src/geraniumshelf_core/configuration/validation.py
+++ b/packages/core/src/geraniumshelf_core/configuration/validation.py
@@ -38,6 +38,7 @@
     _check_unique(merged, 'servers', 'address')
     _check_unique(merged, 'keys', 'digest')
     _check_zone_names(merged)
+    _check_regions_have_zones(merged)
     _check_prefixes(merged)
     _check_weights(merged)
     _check_blocks(merged)
@@ -123,6 +124,20 @@
             raise _duplicate(zone.where, 'name', identity[0], region)
 
 
+def _check_regions_have_zones(merged: Merged) -> None:
+    # A forgotten overlay would otherwise remove all zones of its region.
+    populated = {zone.entry.region for zone in _all(merged, 'zones')}
+    for region in _all(merged, 'regions'):
+        if region.entry.name not in populated:
+            raise refusal(
+                ResultCode.MISSING_KEY,
+                region.where,
+                'zones',
+                'nothing',
+                'at least one zone, in the base file or the overlay',
+            )
+
+
 def _check_prefixes(merged: Merged) -> None:
     for service in _all(merged, 'services'):
         prefixes = [route.prefix for route in service.entry.routes]
--- a/tests/cli/memory_platform.py
+++ b/tests/cli/memory_platform.py
@@ -23,6 +23,7 @@
         before_head: Runs once before the next write of the head.
         after_lost: Runs once after the next write whose answer is lost.
         is_readable: Whether reads succeed.
+        part_faults: Which writes of parts never arrive, counted from 1.
         stale: Old objects that coming reads return.
     """
 
@@ -33,6 +34,8 @@
     is_readable: bool = True
     stale: list[StoredObject] = field(factory=list)
     version: int = 0
+    part_writes: int = 0
+    part_faults: frozenset[int] = frozenset()
 
     async def get(self, name: str) -> StoredObject:
         if not self.is_readable:
@@ -47,6 +50,9 @@
         self, name: str, content: bytes, expected_version: int | None
     ) -> int:
         fault = ''
+        self.part_writes += name != 'config/head'
+        if self.part_writes in self.part_faults:
+            raise _unreachable()
         if name == 'config/head':
             before, self.before_head = self.before_head, None
             if before is not None:
--- a/tests/cli/test_publishing.py
+++ b/tests/cli/test_publishing.py
@@ -175,5 +175,23 @@
     asyncio.run(scenario())
 
 
+def test_parts_are_written_again_after_the_head(
+    platform: MemoryPlatform,
+) -> None:
+    """A clean-up of another operator may delete a part that is in use again."""
+
+    async def scenario() -> None:
+        publisher = await _start(platform)
+        before = set(platform.objects)
+        platform.part_faults = frozenset((platform.part_writes + 2,))
+        published = await _apply(publisher, 1)
+        assert published.is_cleaned
+        (added,) = platform.objects.keys() - before
+        head = platform.objects['config/head']
+        assert platform.objects[added].version > head.version
+
+    asyncio.run(scenario())
+
+
 async def _add(publisher: Publisher, number: int) -> None:
     await publisher.edit(partial(add_key, key=_key(number)))
--- a/tests/cli/test_runner.py
+++ b/tests/cli/test_runner.py
@@ -146,6 +146,23 @@
     assert run('apply', *_FILES, '--from-revision', '0')[0] == ExitCode.PLATFORM
 
 
+def test_interrupted_command_does_not_claim_an_outcome(
+    platform: MemoryPlatform, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """An update that was sent may take effect after the interruption."""
+
+    def interrupt(url: str) -> MemoryPlatform:
+        raise KeyboardInterrupt
+
+    code = run_command(
+        ['--platform-url', 'http://127.0.0.1:1', 'get'],
+        {},
+        lambda url: Session(url, interrupt),
+    )
+    assert code == ExitCode.UNKNOWN
+    assert 'APPLY_UNKNOWN' in capsys.readouterr().err
+
+
 def test_exit_codes_are_documented() -> None:
     """Scripts of operators rely on the table."""
     text = (_FOLDER.parents[1] / 'docs/operate.md').read_text()
