Add the simulated platform and the HTTP adapter

Tests, demo and measurements need the platform's object API with its faults. The stand-in serves objects, watches, the lagging instance list, faults that may be limited to source addresses, and call counters. HttpPlatform implements the platform interface over it.

--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated platform: object API, watches, instance list and faults."""
--- /dev/null
+++ b/tests/standins/test_platform.py
@@ -0,0 +1,138 @@
+"""Guards the simulated platform and the adapter against each other."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+
+from geraniumshelf_core.errors import PlatformError, ResultCode
+from geraniumshelf_daemon.platform.http import HttpPlatform
+from geraniumshelf_daemon.platform.interface import ListedInstance
+from geraniumshelf_standins.platform.server import PlatformServer
+from geraniumshelf_standins.platform.state import PlatformState
+
+Scenario = Callable[[PlatformServer, HttpPlatform], Awaitable[None]]
+
+
+def _run(scenario: Scenario, state: PlatformState | None = None) -> None:
+    async def main() -> None:
+        server = PlatformServer(state=state)
+        server.start()
+        platform = HttpPlatform(server.url, source_address='127.0.0.1')
+        try:
+            await asyncio.wait_for(scenario(server, platform), 20)
+        finally:
+            platform.close()
+            await server.stop()
+
+    asyncio.run(main())
+
+
+async def _send(server: PlatformServer, path: str, content: Any) -> None:
+    await AsyncHTTPClient().fetch(
+        server.url + path, method='PUT', body=json.dumps(content)
+    )
+
+
+async def _code(call: Awaitable[Any]) -> ResultCode:
+    with pytest.raises(PlatformError) as caught:
+        await call
+    return caught.value.code
+
+
+def test_conditional_updates() -> None:
+    """An unconditional overwrite would lose a racing operator's edit."""
+
+    async def scenario(_: PlatformServer, platform: HttpPlatform) -> None:
+        first = await platform.put('a/b', b'1', 0)
+        assert await _code(platform.put('a/b', b'2', 0)) == 3002
+        second = await platform.put('a/b', b'2', first)
+        assert await _code(platform.delete('a/b', first)) == 3002
+        assert (await platform.get('a/b')).version == second
+        await platform.delete('a/b', second)
+        assert await _code(platform.get('a/b')) == 3003
+        assert await _code(platform.put('a/b', bytes(1_000_001), 0)) == 1010
+
+    _run(scenario)
+
+
+def test_watch_reports_writes_and_deletes() -> None:
+    """A missed delete would keep a freed slot claimed."""
+
+    async def scenario(_: PlatformServer, platform: HttpPlatform) -> None:
+        start = (await platform.list_objects('a/')).version
+        waiting = asyncio.create_task(platform.watch('a/', start, 10))
+        await platform.put('b/1', b'other', None)
+        version = await platform.put('a/1', b'1', None)
+        assert [one.name for one in (await waiting).objects] == ['a/1']
+        await platform.delete('a/1', None)
+        deleted = (await platform.watch('a/', version, 0)).objects
+        assert [one.content for one in deleted] == [None]
+        for _ in range(3):
+            await platform.put('a/1', b'1', None)
+        assert await _code(platform.watch('a/', start, 0)) == 3004
+
+    _run(scenario, PlatformState(history_limit=3))
+
+
+def test_faults_concern_only_their_callers() -> None:
+    """A partition must separate one zone without stopping the others."""
+
+    async def scenario(server: PlatformServer, near: HttpPlatform) -> None:
+        far = HttpPlatform(server.url, source_address='127.0.0.2')
+        for down in ('refuse', 'unavailable'):
+            await _send(
+                server, '/v1/faults', {'down': down, 'only_from': ['127.0.0.2']}
+            )
+            await near.put('a', b'1', None)
+            assert await _code(far.get('a')) == 3001
+        await _send(server, '/v1/faults', [])
+        assert (await far.get('a')).content == b'1'
+        assert server.state.calls == {'put': 2, 'get': 3}
+        far.close()
+
+    _run(scenario)
+
+
+def test_lost_answer_and_stale_reads() -> None:
+    """Writes take effect without an answer; reads may show an old state."""
+
+    async def scenario(server: PlatformServer, platform: HttpPlatform) -> None:
+        first = await platform.put('a', b'1', 0)
+        await _send(server, '/v1/faults', {'lose_answers': 1})
+        assert await _code(platform.put('a', b'2', first)) == 3001
+        assert (await platform.get('a')).content == b'2'
+        await _send(server, '/v1/faults', {'stale_versions': 1})
+        assert (await platform.list_objects('')).objects[0].version == first
+        await _send(server, '/v1/faults', {'stale_s': 3600})
+        assert (await platform.list_objects('')).objects == ()
+
+    _run(scenario)
+
+
+def test_stalled_watch_ends_with_the_adapter_timeout() -> None:
+    """A watch that never answers must not hold its task for ever."""
+
+    async def scenario(server: PlatformServer, platform: HttpPlatform) -> None:
+        await _send(server, '/v1/faults', {'stall_watches': True})
+        await platform.put('a', b'1', None)
+        assert await _code(platform.watch('', 0, 0)) == 3001
+
+    _run(scenario)
+
+
+def test_instance_list_lags() -> None:
+    """The list must be able to hide a change for the time set."""
+
+    async def scenario(server: PlatformServer, platform: HttpPlatform) -> None:
+        declared = {'zone': 'z', 'peer_address': '127.0.0.1:1'}
+        await _send(server, '/v1/instances/i1', declared)
+        listed = await platform.list_instances()
+        assert listed == (ListedInstance('i1', 'z', '127.0.0.1:1', False),)
+        await _send(server, '/v1/faults', {'instance_lag_s': 3600})
+        assert await platform.list_instances() == ()
+
+    _run(scenario)
