Add membership decisions, ranking and link topology

Daemons need one view of who is live, which two watch the platform, whom to link to and when their zone is cut off. The decisions are functions of a state and a time. MemberList (kind 4) carries the instance list.

--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/membership/commands.py
@@ -0,0 +1,128 @@
+"""Functions that modify what a daemon knows of the members."""
+
+from collections.abc import Iterable
+
+from geraniumshelf_core.membership.queries import contact_age_ms
+from geraniumshelf_core.membership.state import (
+    SILENCE_LIMIT,
+    HeardPeer,
+    ListedMember,
+    MembershipState,
+)
+from geraniumshelf_core.messages.membership import Heartbeat, Hello, MemberList
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
+
+
+def note_link(state: MembershipState, hello: Hello, now: Nanoseconds) -> None:
+    """Take in the introduction of a peer.
+
+    Another incarnation, or another instance at the same address, replaces
+    what was known.
+    """
+    known = state.heard.get(hello.instance)
+    if known is not None and known.hello == hello:
+        known.heard_at = now
+    else:
+        for name in _same_address(state, hello):
+            state.heard.pop(name)
+        state.heard[hello.instance] = HeardPeer(hello, None, now)
+    if hello.zone != state.own.zone:
+        note_contact(state, now)
+
+
+def note_heartbeat(
+    state: MembershipState,
+    instance: str,
+    heartbeat: Heartbeat,
+    now: Nanoseconds,
+) -> bool:
+    """Take in a heartbeat; return whether it is from the known incarnation."""
+    peer = state.heard.get(instance)
+    if peer is None or peer.hello.incarnation != heartbeat.incarnation:
+        return False
+    last = peer.heartbeat
+    if last is not None and last.sequence >= heartbeat.sequence:
+        return False
+    peer.heartbeat = heartbeat
+    peer.heard_at = now
+    if peer.hello.zone != state.own.zone:
+        note_contact(state, now)
+    elif heartbeat.platform_age_ms >= 0:
+        age = heartbeat.platform_age_ms * MILLISECOND_NS
+        note_contact(state, now - age)
+    return True
+
+
+def note_contact(state: MembershipState, at: Nanoseconds) -> None:
+    """Take in a contact with the platform or another zone."""
+    if state.contact_at is None or state.contact_at < at:
+        state.contact_at = at
+
+
+def replace_listed(
+    state: MembershipState,
+    members: Iterable[ListedMember],
+    listed_at: Nanoseconds,
+) -> bool:
+    """Take in an instance list unless a newer one is known.
+
+    Returns:
+        Whether the list differs from the one before.
+    """
+    if state.listed_at is not None and state.listed_at >= listed_at:
+        return False
+    state.listed_at = listed_at
+    listed = {member.instance: member for member in members}
+    is_changed = listed != state.listed
+    state.listed = listed
+    return is_changed
+
+
+def note_member_list(
+    state: MembershipState, message: MemberList, now: Nanoseconds
+) -> bool:
+    """Take in the list of a peer; return whether it changed anything."""
+    members = [ListedMember(*row) for row in message.members if _is_row(row)]
+    if len(members) < len(message.members) or message.age_ms < 0:
+        return False
+    return replace_listed(state, members, now - message.age_ms * MILLISECOND_NS)
+
+
+def forget_silent(state: MembershipState, now: Nanoseconds) -> None:
+    """Forget peers that are silent for longer than the limit."""
+    state.heard = {
+        name: peer
+        for name, peer in state.heard.items()
+        if now - peer.heard_at <= SILENCE_LIMIT
+    }
+
+
+def next_heartbeat(
+    state: MembershipState, revision: int, now: Nanoseconds
+) -> Heartbeat:
+    """Return the next heartbeat to send."""
+    status = state.status
+    status.sequence += 1
+    return Heartbeat(
+        state.own.incarnation,
+        status.sequence,
+        revision,
+        status.slot,
+        status.window,
+        status.is_leaving,
+        contact_age_ms(state, now),
+    )
+
+
+def _same_address(state: MembershipState, hello: Hello) -> list[str]:
+    return [
+        name
+        for name, peer in state.heard.items()
+        if peer.hello.peer_address == hello.peer_address
+    ]
+
+
+def _is_row(row: object) -> bool:
+    if not isinstance(row, tuple):
+        return False
+    return tuple(type(item) for item in row) == (str, str, str, bool)
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/membership/state.py
@@ -0,0 +1,100 @@
+"""What a daemon knows of the members."""
+
+from typing import Final
+
+from attrs import Factory, define, frozen
+
+from geraniumshelf_core.messages.membership import Heartbeat, Hello
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+
+SILENCE_LIMIT: Final[Nanoseconds] = 3 * SECOND_NS
+
+
+@frozen
+class ListedMember:
+    """An entry of the platform's instance list.
+
+    Attributes:
+        instance: Instance name.
+        zone: Its availability zone.
+        peer_address: Where peers reach it.
+        is_leaving: Whether the platform is about to stop it.
+    """
+
+    instance: str
+    zone: str
+    peer_address: str
+    is_leaving: bool
+
+
+@define
+class HeardPeer:
+    """A peer that has been linked.
+
+    Attributes:
+        hello: Its introduction.
+        heartbeat: Its last heartbeat, if any arrived.
+        heard_at: When it was last heard.
+    """
+
+    hello: Hello
+    heartbeat: Heartbeat | None
+    heard_at: Nanoseconds
+
+
+@frozen
+class Member:
+    """A live member.
+
+    Attributes:
+        hello: Its introduction.
+        slot: Slot held, ``zone/number``, or empty.
+        window: Its current request id window.
+        revision: Its configuration revision in force, 0 for none.
+        is_leaving: Whether it or the platform says that it is shutting down.
+    """
+
+    hello: Hello
+    slot: str
+    window: int
+    revision: int
+    is_leaving: bool
+
+
+@define
+class OwnStatus:
+    """What the daemon tells about itself in heartbeats.
+
+    Attributes:
+        slot: Slot held, ``zone/number``, or empty.
+        window: Current request id window.
+        is_leaving: Whether it is shutting down.
+        sequence: Number of the last heartbeat.
+    """
+
+    slot: str = ''
+    window: int = 0
+    is_leaving: bool = False
+    sequence: int = 0
+
+
+@define
+class MembershipState:
+    """Members as far as they are known.
+
+    Attributes:
+        own: Introduction of this daemon.
+        status: What it tells about itself.
+        listed: Entries of the newest instance list by name.
+        listed_at: When that list was read from the platform.
+        heard: Peers by name.
+        contact_at: When this daemon, or one of its zone, last had contact
+            with the platform or another zone.
+    """
+
+    own: Hello
+    status: OwnStatus = Factory(OwnStatus)
+    listed: dict[str, ListedMember] = Factory(dict)
+    listed_at: Nanoseconds | None = None
+    heard: dict[str, HeardPeer] = Factory(dict)
+    contact_at: Nanoseconds | None = None
--- a/packages/core/src/geraniumshelf_core/messages/membership.py
+++ b/packages/core/src/geraniumshelf_core/messages/membership.py
@@ -35,8 +35,9 @@
         slot: Slot held, ``zone/number``, or empty.
         window: Current request id window of the sender.
         is_leaving: Whether the sender is shutting down.
-        platform_age_ms: Time since the sender, or a peer that it hears, had
-            contact with the platform, milliseconds; -1 for never.
+        platform_age_ms: Time since the sender, or a daemon of its zone, had
+            contact with the platform or with another zone, milliseconds; -1
+            for never.
     """
 
     incarnation: int
@@ -59,3 +60,16 @@
 
     code: int
     detail: str
+
+
+@frozen
+class MemberList:
+    """The newest instance list that the sender knows.
+
+    Attributes:
+        age_ms: Time since it was read from the platform, milliseconds.
+        members: Rows of instance, zone, peer address and leaving.
+    """
+
+    age_ms: int
+    members: tuple[tuple[str, str, str, bool], ...]
--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -6,7 +6,12 @@
     ConfigurationParts,
     ConfigurationRequest,
 )
-from geraniumshelf_core.messages.membership import Failure, Heartbeat, Hello
+from geraniumshelf_core.messages.membership import (
+    Failure,
+    Heartbeat,
+    Hello,
+    MemberList,
+)
 
 # A number is never given to another message; receivers refuse unknown ones.
 # 1-9 membership, 10-19 configuration, 20-29 allowances, 30-39 at-most-once,
@@ -15,6 +20,7 @@
     1: Hello,
     2: Heartbeat,
     3: Failure,
+    4: MemberList,
     10: ConfigurationRequest,
     11: ConfigurationParts,
 }
--- /dev/null
+++ b/tests/core/membership/test_membership.py
@@ -0,0 +1,134 @@
+"""Guards the decisions about members."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumshelf_core.codec import Frame, encode_frame
+from geraniumshelf_core.membership.commands import (
+    next_heartbeat,
+    note_contact,
+    note_heartbeat,
+    note_link,
+    note_member_list,
+    replace_listed,
+)
+from geraniumshelf_core.membership.queries import (
+    is_cut_off,
+    link_targets,
+    live_members,
+    member_list,
+    slot_holders,
+    zone_watchers,
+)
+from geraniumshelf_core.membership.state import ListedMember, MembershipState
+from geraniumshelf_core.messages.membership import Heartbeat, Hello, MemberList
+from geraniumshelf_core.units import SECOND_NS
+
+
+def _hello(name: str, zone: str = 'a', incarnation: int = 1) -> Hello:
+    return Hello(name, zone, 'r', f'{name}:80', f'{name}:81', incarnation)
+
+
+def _beat(
+    sequence: int, *, incarnation: int = 1, slot: str = '', age_ms: int = -1
+) -> Heartbeat:
+    return Heartbeat(incarnation, sequence, 1, slot, 0, False, age_ms)
+
+
+def test_silent_peer_is_not_live() -> None:
+    """A dead entry instance must leave lookups within 3 s."""
+    state = MembershipState(_hello('own'))
+    note_link(state, _hello('peer'), 0)
+    assert note_heartbeat(state, 'peer', _beat(1, slot='a/1'), SECOND_NS)
+    live = live_members(state, 0, 4 * SECOND_NS)
+    assert slot_holders(live) == {'a/1': 'peer'}
+    assert len(live_members(state, 0, 4 * SECOND_NS + 1)) == 1
+
+
+def test_replaced_incarnation_is_a_new_peer() -> None:
+    """The slot of a predecessor must not count for its successor."""
+    state = MembershipState(_hello('own'))
+    note_link(state, _hello('peer'), 0)
+    note_heartbeat(state, 'peer', _beat(9, slot='a/1'), 0)
+    note_link(state, _hello('peer', incarnation=2), 0)
+    assert slot_holders(live_members(state, 0, 0)) == {}
+    assert not note_heartbeat(state, 'peer', _beat(10, slot='a/1'), 0)
+    assert note_heartbeat(state, 'peer', _beat(1, incarnation=2), 0)
+    assert not note_heartbeat(state, 'peer', _beat(1, incarnation=2), 0)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(('platform', 'same zone', 'other zone')),
+            st.integers(0, 2000),
+            st.integers(0, 5000),
+        )
+    ),
+    st.integers(0, 5000),
+)
+def test_cut_off_after_three_seconds_without_contact(
+    contacts: list[tuple[str, int, int]], end_ms: int
+) -> None:
+    """Mates that repeat old contacts must not keep a zone in service."""
+    state = MembershipState(_hello('own'))
+    now, latest = 0, None
+    note_link(state, _hello('mate'), 0)
+    for sequence, (kind, after_ms, age_ms) in enumerate(contacts):
+        now += after_ms * 1_000_000
+        contact = now
+        if kind == 'platform':
+            note_contact(state, now)
+        elif kind == 'other zone':
+            note_link(state, _hello('far', 'b', sequence), now)
+        else:
+            contact -= age_ms * 1_000_000
+            note_heartbeat(state, 'mate', _beat(sequence, age_ms=age_ms), now)
+        latest = contact if latest is None else max(latest, contact)
+    now += end_ms * 1_000_000
+    expected = latest is None or now - latest > 3 * SECOND_NS
+    assert is_cut_off(state, now) == expected
+
+
+@given(st.integers(1, 60), st.integers(0, 2))
+def test_every_zone_has_its_watchers(count: int, silent: int) -> None:
+    """A zone without a watcher would miss configuration changes."""
+    names = [f'i{number}' for number in range(count)]
+    rows = [ListedMember(name, 'a', f'{name}:81', False) for name in names]
+    watching = []
+    for name in names:
+        state = MembershipState(_hello(name))
+        replace_listed(state, rows, 0)
+        for peer in link_targets(state, 0):
+            note_link(state, _hello(peer), 0)
+        first = zone_watchers(state, 0)
+        for lost in first[:silent]:
+            state.heard.pop(lost, None)
+        if name not in first[:silent]:
+            watching.append(name in zone_watchers(state, 0))
+    assert sum(watching) == min(2, max(0, count - silent))
+
+
+def test_older_or_malformed_list_changes_nothing() -> None:
+    """A slow peer must not bring back an instance that is gone."""
+    state = MembershipState(_hello('own'))
+    newer = MemberList(0, (('i1', 'a', 'i1:81', False),))
+    assert note_member_list(state, newer, 5 * SECOND_NS)
+    older = MemberList(1000, (('i2', 'a', 'i2:81', False),))
+    assert not note_member_list(state, older, 5 * SECOND_NS)
+    broken: MemberList = MemberList(0, (('i2', 1),))  # type: ignore[arg-type]
+    assert not note_member_list(state, broken, 6 * SECOND_NS)
+    assert member_list(state, 5 * SECOND_NS) == newer
+
+
+def test_heartbeats_of_nine_daemons_fit_the_byte_budget() -> None:
+    """Heartbeats of eight peers both ways stay below 1 KB a second."""
+    state = MembershipState(_hello('own', incarnation=2**64 - 1))
+    state.status.slot = 'hawassa-a/2'
+    state.status.window = 2**20
+    state.status.sequence = 2**20
+    note_contact(state, -2 * SECOND_NS)
+    beat = next_heartbeat(state, 2**20, 0)
+    websocket_header_and_mask = 6
+    size = len(encode_frame(Frame(2**28, 0, beat))) + websocket_header_and_mask
+    assert size * 16 < 1024
