Add peer links over WebSocket connections

Daemons need framed links with answers bound to requests, one link per pair, and a bounded queue per peer so that a paused reader does not hold up others.

--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/dialer.py
@@ -0,0 +1,91 @@
+"""Dials peers until they are linked."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from random import uniform
+from typing import Any, Final
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import WebSocketException
+
+from geraniumshelf_daemon.peers.link import FRAME_LIMIT_BYTES
+from geraniumshelf_daemon.peers.table import LinkTable
+
+OPEN_TIMEOUT_S: Final = 2.0
+CLOSE_TIMEOUT_S: Final = 1.0
+
+_FIRST_DELAY_S: Final = 0.1
+_LAST_DELAY_S: Final = 2.0
+
+
+class Dialer:
+    """Runs one task per target address."""
+
+    def __init__(
+        self,
+        table: LinkTable,
+        run_link: Callable[[Connection], Awaitable[bool]],
+        source_address: str | None,
+    ) -> None:
+        """Prepare dialing.
+
+        Args:
+            table: Links in use; their peers are not dialed.
+            run_link: Uses a connection until it is lost and returns whether
+                it was in use.
+            source_address: Local IP address to dial from.
+        """
+        self._table = table
+        self._run_link = run_link
+        self._options: dict[str, Any] = {}
+        if source_address is not None:
+            self._options['local_addr'] = (source_address, 0)
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def set_targets(self, addresses: Iterable[str]) -> None:
+        """Dial these peer addresses and no others."""
+        wanted = set(addresses)
+        for address in set(self._tasks) - wanted:
+            self._tasks.pop(address).cancel()
+        for address in wanted - set(self._tasks):
+            self._tasks[address] = asyncio.create_task(self._dial(address))
+
+    async def stop(self) -> None:
+        """Drop all targets and the links dialed to them."""
+        tasks = list(self._tasks.values())
+        self.set_targets(())
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _dial(self, address: str) -> None:
+        delay_s = _FIRST_DELAY_S
+        while True:
+            while self._table.has_address(address):
+                delay_s = _FIRST_DELAY_S
+                await self._table.wait_changed()
+            if await self._was_linked(address):
+                delay_s = _FIRST_DELAY_S
+            # Jitter keeps the daemons of a zone from dialing a restarted
+            # peer all at once.
+            await asyncio.sleep(uniform(delay_s / 2, delay_s))
+            delay_s = min(2 * delay_s, _LAST_DELAY_S)
+
+    async def _was_linked(self, address: str) -> bool:
+        try:
+            return await self._connect(address)
+        except (OSError, WebSocketException):
+            return False
+
+    async def _connect(self, address: str) -> bool:
+        async with connect(
+            f'ws://{address}',
+            compression=None,
+            user_agent_header=None,
+            proxy=None,
+            max_size=FRAME_LIMIT_BYTES,
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            ping_interval=None,
+            **self._options,
+        ) as connection:
+            return await self._run_link(connection)
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/links.py
@@ -0,0 +1,179 @@
+"""Links to all peers."""
+
+import asyncio
+import socket
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any, Final
+
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, serve
+from websockets.exceptions import ConnectionClosed
+
+from geraniumshelf_core.errors import PeerError, ResultCode
+from geraniumshelf_core.logical_clock import LogicalClock
+from geraniumshelf_core.messages.membership import Heartbeat, Hello
+from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.peers.dialer import (
+    CLOSE_TIMEOUT_S,
+    OPEN_TIMEOUT_S,
+    Dialer,
+)
+from geraniumshelf_daemon.peers.interface import Handler
+from geraniumshelf_daemon.peers.link import (
+    FRAME_LIMIT_BYTES,
+    PeerLink,
+    introduce,
+    refuse,
+)
+from geraniumshelf_daemon.peers.table import LinkTable
+
+HEARTBEAT_INTERVAL_S: Final = 1.0
+
+# Application code of a WebSocket close frame, not a result code.
+_CLOSE_DUPLICATE: Final = 4000
+
+
+class PeerLinks:
+    """Implements ``PeerNetwork`` over WebSocket connections.
+
+    There is at most one link in use per peer. Each target is dialed with
+    back-off until it is linked, by whichever side.
+    """
+
+    def __init__(
+        self,
+        own: Hello,
+        heartbeat: Callable[[], Heartbeat],
+        *,
+        clock: LogicalClock | None = None,
+        source_address: str | None = None,
+    ) -> None:
+        """Prepare links.
+
+        Args:
+            own: Introduction of this daemon.
+            heartbeat: Returns the heartbeat to send; called each second and
+                for each new link.
+            clock: Logical clock of the daemon.
+            source_address: Local IP address to dial from.
+        """
+        self._own = own
+        self._heartbeat = heartbeat
+        self._clock = LogicalClock() if clock is None else clock
+        self._table = LinkTable(own.instance)
+        self._dialer = Dialer(
+            self._table,
+            partial(self._run_link, is_dialer=True),
+            source_address,
+        )
+        self._handlers: dict[type, Handler] = {}
+        self._listeners: list[Callable[[Hello], None]] = []
+        self._beats: asyncio.Task[None] | None = None
+        self._server: Server | None = None
+
+    async def start(self, listener: socket.socket | None = None) -> None:
+        """Listen at the own peer address, or on a socket already bound.
+
+        Raises:
+            OSError: If the address is taken.
+        """
+        if listener is None:
+            host, _, port = self._own.peer_address.rpartition(':')
+            listener = socket.create_server((host, int(port)))
+        self._server = await serve(
+            self._accept,
+            sock=listener,
+            compression=None,
+            server_header=None,
+            max_size=FRAME_LIMIT_BYTES,
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            ping_interval=None,
+        )
+        self._beats = asyncio.create_task(self._beat())
+
+    async def stop(self) -> None:
+        """Stop listening and drop all links."""
+        if self._beats is not None:
+            self._beats.cancel()
+        for link in self._table.links():
+            link.abort()
+        await self._dialer.stop()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def register(self, message_type: type, handler: Handler) -> None:
+        """Hand received messages of a type to a handler."""
+        self._handlers[message_type] = handler
+
+    def subscribe(self, listener: Callable[[Hello], None]) -> None:
+        """Call a listener with the introduction of each newly linked peer."""
+        self._listeners.append(listener)
+
+    def connected(self) -> tuple[str, ...]:
+        """Return the instance names of linked peers."""
+        return self._table.instances()
+
+    def notify(self, instance: str, message: Any) -> None:
+        """Send a message without an answer; it may be lost."""
+        link = self._table.find(instance)
+        if link is not None:
+            link.send(message)
+
+    async def request(
+        self, instance: str, message: Any, timeout: Nanoseconds
+    ) -> Any:
+        """Send a message and return the answer; raises ``PeerError``."""
+        link = self._table.find(instance)
+        if link is None:
+            raise PeerError(ResultCode.PEER_UNREACHABLE, 'not linked')
+        return await link.request(message, timeout)
+
+    def set_targets(self, addresses: Iterable[str]) -> None:
+        """Keep links to these peer addresses and dial no others."""
+        self._dialer.set_targets(set(addresses) - {self._own.peer_address})
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            heartbeat = self._heartbeat()
+            for link in self._table.links():
+                link.send(heartbeat)
+
+    async def _accept(self, connection: Connection) -> None:
+        await self._run_link(connection, is_dialer=False)
+
+    async def _run_link(
+        self, connection: Connection, *, is_dialer: bool
+    ) -> bool:
+        try:
+            hello = await introduce(connection, self._own, self._clock.tick())
+        except PeerError as error:
+            await refuse(connection, error)
+            return False
+        except (ConnectionClosed, TimeoutError):
+            connection.transport.abort()
+            return False
+        link = PeerLink(
+            connection,
+            hello,
+            is_dialer=is_dialer,
+            clock=self._clock,
+            handlers=self._handlers,
+        )
+        return await self._use(link, connection)
+
+    async def _use(self, link: PeerLink, connection: Connection) -> bool:
+        if not self._table.adopt(link):
+            await connection.close(_CLOSE_DUPLICATE, 'duplicate link')
+            return False
+        for listener in self._listeners:
+            listener(link.hello)
+        link.send(self._heartbeat())
+        try:
+            await link.run()
+        finally:
+            self._table.discard(link)
+        return True
