--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Selection of backend servers and sharing of slots and links."""
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/dispatch/commands.py
@@ -0,0 +1,113 @@
+"""Changes to what a daemon knows of the backend servers."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from geraniumshelf_core.configuration.model import BackendServer
+from geraniumshelf_core.dispatch.state import (
+    EJECTED_FRACTION,
+    EJECTION_NS,
+    FAILURES_TO_EJECT,
+    DispatchState,
+    RetryBudget,
+    ServerState,
+)
+from geraniumshelf_core.units import Nanoseconds
+
+_RETRY_COST: Final = 100
+_RETRY_GAIN: Final = 10
+# A few retries are allowed even when hardly any requests arrive.
+_RETRY_FLOOR: Final = 3 * _RETRY_COST
+_RETRY_CEILING: Final = 100 * _RETRY_COST
+
+
+def replace_servers(
+    state: DispatchState,
+    servers: Iterable[BackendServer],
+    regions: Mapping[str, str],
+    now: Nanoseconds,
+) -> None:
+    """Take over the servers of a revision and keep what is known of them.
+
+    Args:
+        state: The state to change.
+        servers: Servers of the revision in force.
+        regions: Region by zone.
+        now: Current time; a server that was added later starts slowly.
+    """
+    is_first = not state.servers
+    known = state.servers
+    state.servers = {}
+    services: dict[str, list[str]] = {}
+    for server in servers:
+        region = regions.get(server.zone, '')
+        old = known.get(server.name)
+        if old is None or old.server.address != server.address:
+            since = None if is_first else now
+            old = ServerState(server, region, available_since=since)
+        old.server = server
+        old.region = region
+        state.servers[server.name] = old
+        services.setdefault(server.service, []).append(server.name)
+    state.services = {name: tuple(row) for name, row in services.items()}
+
+
+def begin_request(server: ServerState) -> None:
+    """Count a request that a server begins to run."""
+    server.in_flight += 1
+
+
+def end_request(
+    state: DispatchState,
+    server: ServerState,
+    is_failure: bool,
+    now: Nanoseconds,
+) -> bool:
+    """Count the end of a request; return whether the server was ejected."""
+    server.in_flight -= 1
+    if not is_failure:
+        server.failures = 0
+        return False
+    server.failures += 1
+    if server.failures < FAILURES_TO_EJECT or server.ejected_until > now:
+        return False
+    return _eject(state, server, now)
+
+
+def record_report(
+    server: ServerState, in_flight: int, is_leaving: bool, now: Nanoseconds
+) -> None:
+    """Take over the load that a server reported about itself."""
+    server.others = max(0, in_flight - server.in_flight)
+    server.reported_at = now
+    if server.is_leaving and not is_leaving:
+        server.available_since = now
+    server.is_leaving = is_leaving
+
+
+def earn_retries(budget: RetryBudget) -> None:
+    """Count a request; ten of them allow one retry."""
+    budget.tokens = min(_RETRY_CEILING, budget.tokens + _RETRY_GAIN)
+
+
+def spend_retry(budget: RetryBudget) -> bool:
+    """Take one retry out of the budget if it allows one."""
+    if budget.tokens + _RETRY_FLOOR < _RETRY_COST:
+        return False
+    budget.tokens -= _RETRY_COST
+    return True
+
+
+def _eject(state: DispatchState, server: ServerState, now: Nanoseconds) -> bool:
+    upstream = [
+        other
+        for name in state.services.get(server.server.service, ())
+        if (other := state.servers[name]).region == server.region
+    ]
+    ejected = sum(other.ejected_until > now for other in upstream)
+    if (ejected + 1) * EJECTED_FRACTION > len(upstream):
+        return False
+    server.failures = 0
+    server.ejected_until = now + EJECTION_NS
+    server.available_since = server.ejected_until
+    return True
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/dispatch/state.py
@@ -0,0 +1,74 @@
+"""What one daemon knows of the backend servers."""
+
+from attrs import define, field, frozen
+
+from geraniumshelf_core.configuration.model import BackendServer
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+
+SLOW_START_NS: Nanoseconds = 10 * SECOND_NS
+EJECTION_NS: Nanoseconds = 10 * SECOND_NS
+# A reported load counts less the older it is, and not at all after this time.
+REPORT_LIFE_NS: Nanoseconds = 10 * SECOND_NS
+# One failure is common when a connection is reset; three in a row are not.
+FAILURES_TO_EJECT = 3
+EJECTED_FRACTION = 3
+
+
+@frozen
+class Place:
+    """Where this daemon runs."""
+
+    zone: str
+    region: str
+
+
+@define
+class ServerState:
+    """What is known of one backend server.
+
+    Attributes:
+        region: Region of its zone.
+        in_flight: Requests of this daemon that it runs now.
+        others: Requests of other daemons at the time of the last report.
+        reported_at: Time of the last report, ``None`` before the first.
+        is_leaving: Whether it said that it is leaving.
+        available_since: Start of its slow start; ``None`` for long ago.
+        ejected_until: End of its ejection, 0 for none.
+        failures: Failures in a row.
+    """
+
+    server: BackendServer
+    region: str
+    in_flight: int = 0
+    others: int = 0
+    reported_at: Nanoseconds | None = None
+    is_leaving: bool = False
+    available_since: Nanoseconds | None = None
+    ejected_until: Nanoseconds = 0
+    failures: int = 0
+
+
+@define
+class DispatchState:
+    """All backend servers of the configuration in force by service.
+
+    Attributes:
+        place: Where this daemon runs.
+        servers: States by server name.
+        services: Server names by service.
+    """
+
+    place: Place
+    servers: dict[str, ServerState] = field(factory=dict)
+    services: dict[str, tuple[str, ...]] = field(factory=dict)
+
+
+@define
+class RetryBudget:
+    """Allows retries in proportion to requests.
+
+    Attributes:
+        tokens: Retries allowed now, in hundredths.
+    """
+
+    tokens: int = 0
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/dispatch/waiting/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that wait for a slot of a backend server."""
--- a/packages/core/src/geraniumshelf_core/errors.py
+++ b/packages/core/src/geraniumshelf_core/errors.py
@@ -54,6 +54,7 @@
     LEAVING = 2021
     MALFORMED_REQUEST_ID = 2022
     METHOD_NOT_ALLOWED = 2023
+    CALLER_SILENT = 2024
     INTERNAL_FAULT = 2099
 
     # Platform.
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Request ids and run records: at-most-once execution."""
--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -6,6 +6,14 @@
     ConfigurationParts,
     ConfigurationRequest,
 )
+from geraniumshelf_core.messages.idempotency import (
+    DeciderMoved,
+    HandoverAccepted,
+    RecordsHandover,
+    RunFinished,
+    RunQuery,
+    RunVerdict,
+)
 from geraniumshelf_core.messages.membership import Failure, Heartbeat, Hello
 
 # A number is never given to another message; receivers refuse unknown ones.
@@ -17,4 +25,10 @@
     3: Failure,
     10: ConfigurationRequest,
     11: ConfigurationParts,
+    30: RunQuery,
+    31: RunVerdict,
+    32: RunFinished,
+    33: RecordsHandover,
+    34: HandoverAccepted,
+    35: DeciderMoved,
 }
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/front/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers and operators."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/front/caller.py
@@ -0,0 +1,105 @@
+"""One request of a caller."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from geraniumshelf_daemon.front.reply import Reply
+from geraniumshelf_daemon.upstream.channel import ByteChannel
+
+_KEPT_VERSION: Final = 'HTTP/1.1'
+
+Serve = Callable[['Caller'], Coroutine[Any, Any, None]]
+
+
+class Caller(HTTPMessageDelegate):
+    """Reads one request and starts the task that serves it.
+
+    Attributes:
+        body: Chunks of the request body.
+        reply: The answer.
+    """
+
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        serve: Serve,
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self._connection = connection
+        self._serve = serve
+        self._is_leaving = is_leaving
+        self._start_line = RequestStartLine('', '', '')
+        self._headers = HTTPHeaders()
+        self._task: asyncio.Task[None] | None = None
+        self.body = ByteChannel()
+        self.reply = Reply(connection, self.body, self._must_close)
+
+    @property
+    def method(self) -> str:
+        """Return the HTTP method."""
+        return self._start_line.method
+
+    @property
+    def target(self) -> str:
+        """Return the request target."""
+        return self._start_line.path
+
+    @property
+    def headers(self) -> HTTPHeaders:
+        """Return the request headers."""
+        return self._headers
+
+    @property
+    def address(self) -> str:
+        """Return the IP address of the caller."""
+        return str(getattr(self._connection.context, 'remote_ip', ''))
+
+    @property
+    def has_body(self) -> bool:
+        """Return whether the request announces a body."""
+        if 'Transfer-Encoding' in self._headers:
+            return True
+        return self._headers.get('Content-Length', '0') != '0'
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Start the task that serves the request."""
+        assert isinstance(start_line, RequestStartLine)
+        self._start_line = start_line
+        self._headers = headers
+        self._connection.set_close_callback(self.on_connection_close)
+        self._task = asyncio.get_running_loop().create_task(self._serve(self))
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Hand over a chunk; the next is read once it was taken."""
+        return self.body.put(chunk)
+
+    def finish(self) -> None:
+        """End the request body."""
+        self.body.finish()
+
+    def on_connection_close(self) -> None:
+        """Cancel the work of a caller that has gone."""
+        self.body.fail()
+        if self._task is not None:
+            self._task.cancel()
+
+    def _must_close(self, headers: HTTPHeaders) -> bool:
+        if self._is_leaving():
+            return True
+        if self.has_body and not self.body.is_finished:
+            return True
+        is_old = self._start_line.version != _KEPT_VERSION
+        return is_old and 'Content-Length' not in headers
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/front/forwarding.py
@@ -0,0 +1,198 @@
+"""Runs an admitted request on a backend server and relays the answer."""
+
+from collections.abc import Callable
+from typing import Final
+
+from attrs import evolve, frozen
+from tornado.httputil import HTTPHeaders
+
+from geraniumshelf_core.dispatch.state import ServerState
+from geraniumshelf_core.errors import Ran, RequestRefused
+from geraniumshelf_core.idempotency.state import LARGEST_KEPT_BODY, Finished
+from geraniumshelf_core.units import (
+    MILLISECOND_NS,
+    Nanoseconds,
+)
+from geraniumshelf_daemon.front.admission import Order
+from geraniumshelf_daemon.front.caller import Caller
+from geraniumshelf_daemon.front.headers import (
+    ACCOUNT_HEADER,
+    DEADLINE_HEADER,
+    ID_HEADER,
+    forwarded_headers,
+    relayed_headers,
+)
+from geraniumshelf_daemon.front.running import RunningRequest
+from geraniumshelf_daemon.upstream.attempt import Attempt, Head, RequestHead
+from geraniumshelf_daemon.upstream.dispatcher import Dispatcher, Need
+from geraniumshelf_daemon.upstream.pool import ConnectionPool
+from geraniumshelf_daemon.upstream.progress import (
+    AttemptFailed,
+    SilentError,
+    within,
+)
+from geraniumshelf_daemon.upstream.upload import Upload
+
+_MS_PER_S: Final = 1000
+_MOST_ATTEMPTS: Final = 3
+_BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
+# A backend server that shed load or refused is likely to take work soon.
+_RETRY_AFTER_S: Final = 1
+
+
+@frozen
+class Task:
+    """One admitted request on its way.
+
+    Attributes:
+        caller: The connection to the caller.
+        order: What is to be run.
+        running: Its entry among the running requests.
+        upload: Its body.
+    """
+
+    caller: Caller
+    order: Order
+    running: RunningRequest
+    upload: Upload
+
+
+class Forwarder:
+    """Chooses backend servers for requests until one answers."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        pool: ConnectionPool,
+        clock: Callable[[], Nanoseconds],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._pool = pool
+        self._clock = clock
+
+    async def run(
+        self, caller: Caller, order: Order, running: RunningRequest
+    ) -> Finished:
+        """Run a request, relay the answer and return what to remember.
+
+        Raises:
+            RequestRefused: If no server answered; the answer has not begun.
+            ConnectionError: If the answer was cut short after it had begun.
+        """
+        task = Task(
+            caller,
+            order,
+            running,
+            Upload(caller.body, has_body=caller.has_body),
+        )
+        need = Need(
+            order.service.name,
+            order.account,
+            order.route.may_wait,
+            order.give_up_at,
+        )
+        for attempts_left in reversed(range(_MOST_ATTEMPTS)):
+            server = await self._dispatcher.reserve(need)
+            try:
+                return await self._attempt(task, server)
+            except AttemptFailed as failed:
+                self._check_retry(task, failed, attempts_left)
+            need = evolve(need, excluded=need.excluded | {server.server.name})
+        raise AssertionError('the last attempt raises')
+
+    async def _attempt(self, task: Task, server: ServerState) -> Finished:
+        is_failure = False
+        attempt = Attempt(
+            self._pool,
+            server.server.address,
+            task.order.service.progress_timeout_ms / _MS_PER_S,
+            task.upload,
+        )
+        try:
+            head = await attempt.start(
+                self._request_head(task), _Marker(task.running)
+            )
+            task.running.ran = Ran.RAN
+            return await self._relay(task, attempt, head)
+        except AttemptFailed as failed:
+            is_failure = failed.is_failure
+            task.running.ran = failed.ran
+            raise
+        finally:
+            attempt.close()
+            self._dispatcher.release(server, is_failure=is_failure)
+
+    async def _relay(
+        self, task: Task, attempt: Attempt, head: Head
+    ) -> Finished:
+        status, reason, headers = head
+        relayed = relayed_headers(headers)
+        reply = task.caller.reply
+        timeout_s = task.order.service.progress_timeout_ms / _MS_PER_S
+        kept = bytearray()
+        try:
+            await within(timeout_s, reply.begin(status, reason, relayed))
+            while chunk := await attempt.next_chunk():
+                if len(kept) <= LARGEST_KEPT_BODY:
+                    kept += chunk
+                await within(timeout_s, reply.write(chunk))
+        except SilentError as error:
+            raise ConnectionError('the caller stopped reading') from error
+        await attempt.settle()
+        await reply.end()
+        is_kept = len(kept) <= LARGEST_KEPT_BODY
+        return Finished(
+            status,
+            tuple(relayed.get_all()),
+            bytes(kept) if is_kept else None,
+        )
+
+    def _check_retry(
+        self, task: Task, failed: AttemptFailed, attempts_left: int
+    ) -> None:
+        if task.caller.reply.has_begun:
+            raise ConnectionError(failed.detail)
+        is_safe = failed.ran is Ran.NOT_RUN or task.order.route.is_idempotent
+        can_retry = is_safe and task.upload.can_replay and attempts_left > 0
+        if can_retry and self._dispatcher.may_retry():
+            return
+        raise RequestRefused(
+            failed.code,
+            failed.detail,
+            ran=failed.ran,
+            retry_after_s=_RETRY_AFTER_S if is_safe else None,
+        )
+
+    def _request_head(self, task: Task) -> RequestHead:
+        caller, order = task.caller, task.order
+
+        def make_headers() -> HTTPHeaders:
+            headers = forwarded_headers(caller.headers, order.secret)
+            headers.update(self._own_headers(order))
+            if not caller.has_body:
+                if caller.method in _BODY_METHODS:
+                    headers['Content-Length'] = '0'
+            elif 'Content-Length' not in headers:
+                headers['Transfer-Encoding'] = 'chunked'
+            return headers
+
+        return RequestHead(caller.method, caller.target, make_headers)
+
+    def _own_headers(self, order: Order) -> dict[str, str]:
+        headers = {}
+        if order.account:
+            headers[ACCOUNT_HEADER] = order.account
+        if order.request_id:
+            headers[ID_HEADER] = order.request_id
+        if order.deadline is not None:
+            left = (order.deadline - self._clock()) // MILLISECOND_NS
+            headers[DEADLINE_HEADER] = str(max(1, left))
+        return headers
+
+
+@frozen
+class _Marker:
+    running: RunningRequest
+
+    def __call__(self) -> None:
+        self.running.ran = Ran.UNKNOWN
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/front/front.py
@@ -0,0 +1,66 @@
+"""Ties the HTTP server for callers to the configuration in force."""
+
+import asyncio
+from typing import Final
+
+from geraniumshelf_core.configuration.model import Configuration
+from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.front.admission import Gate
+from geraniumshelf_daemon.front.pipeline import Pipeline
+from geraniumshelf_daemon.front.server import FrontServer
+from geraniumshelf_daemon.replication.interface import ConfigurationSource
+from geraniumshelf_daemon.upstream.dispatcher import Dispatcher
+
+# Requests that reached the socket before it closes are still accepted.
+_LAST_ACCEPT_S: Final = 0.05
+
+
+class Front:
+    """Serves callers."""
+
+    def __init__(
+        self, pipeline: Pipeline, gate: Gate, dispatcher: Dispatcher
+    ) -> None:
+        self._pipeline = pipeline
+        self._gate = gate
+        self._dispatcher = dispatcher
+        self._server = FrontServer(pipeline.serve)
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of requests that run now."""
+        return len(self._pipeline.running)
+
+    def follow(self, source: ConfigurationSource) -> None:
+        """Apply the revision in force and each one that follows."""
+        source.subscribe(self.apply)
+        if source.configuration is not None:
+            self.apply(source.configuration)
+
+    def apply(self, configuration: Configuration) -> None:
+        """Apply a revision and end requests whose key it withdraws."""
+        self._gate.apply(configuration)
+        self._dispatcher.apply(configuration)
+        table = self._gate.table
+        if table is not None:
+            self._pipeline.running.end_withdrawn(table.keys)
+
+    def listen(self, host: str, port: int) -> int:
+        """Listen at an address and return the port.
+
+        Raises:
+            OSError: If the address is in use.
+        """
+        return self._server.listen(host, port)
+
+    def leave(self) -> None:
+        """Ask callers to close their connections after the next answer."""
+        self._server.stop_keep_alive()
+
+    async def drain(self, now: Nanoseconds) -> None:
+        """Stop keep-alive, finish all requests, then close the port."""
+        self.leave()
+        await self._pipeline.running.wait_empty()
+        await asyncio.sleep(_LAST_ACCEPT_S)
+        await self._pipeline.running.wait_empty()
+        await self._server.close()
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/front/interface.py
@@ -0,0 +1,69 @@
+"""What the front end asks of the other parts of the daemon."""
+
+from typing import Protocol
+
+from attrs import frozen
+
+from geraniumshelf_core.configuration.model import Key
+from geraniumshelf_core.units import Nanoseconds
+
+
+@frozen
+class LookupAnswer:
+    """An answer to a look-up.
+
+    Attributes:
+        body: JSON, ready to be sent.
+        ttl_s: Time that the caller may cache it, seconds.
+    """
+
+    body: bytes
+    ttl_s: int
+
+
+class LookupSource(Protocol):
+    """Tells callers which entry instance to use."""
+
+    def answer(
+        self, service: str, client: str, now: Nanoseconds
+    ) -> LookupAnswer:
+        """Return the entry instances for a client address.
+
+        Raises:
+            RequestRefused: If the service is unknown or there is none.
+        """
+
+
+class AllowanceSource(Protocol):
+    """Holds the rate and burst of each client account."""
+
+    async def acquire(self, account: str, give_up_at: Nanoseconds) -> None:
+        """Take one token for a request.
+
+        Raises:
+            RequestRefused: ``RATE_EXCEEDED`` if there is none in time.
+        """
+
+
+class KeySource(Protocol):
+    """Knows the keys of the configuration in force."""
+
+    def find(self, key: str) -> Key | None:
+        """Return the entry of a key, ``None`` if there is none."""
+
+
+class CutOffSource(Protocol):
+    """Knows whether withdrawals of keys still reach this daemon."""
+
+    def is_cut_off(self, now: Nanoseconds) -> bool:
+        """Return whether no withdrawal can reach this daemon."""
+
+
+class FailoverSource(Protocol):
+    """Holds the plan's allowances towards other regions."""
+
+    def regions(self, service: str, now: Nanoseconds) -> tuple[str, ...]:
+        """Return other regions that may serve a request now, best first."""
+
+    def count(self, service: str, region: str, now: Nanoseconds) -> None:
+        """Count a request that was sent to a region."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/front/reply.py
@@ -0,0 +1,109 @@
+"""The answer to one request of a caller."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from typing import Final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+
+from geraniumshelf_core.errors import RequestRefused
+from geraniumshelf_daemon.front.refusal import (
+    refusal_body,
+    refusal_headers,
+    refusal_status,
+)
+from geraniumshelf_daemon.upstream.channel import ByteChannel
+
+# Closing a connection with unread bytes resets it, and the caller may lose
+# the answer; so a refused upload is read for a while before the end.
+_LINGER_S: Final = 2
+_RESET: Final = struct.pack('ii', 1, 0)
+
+
+class Reply:
+    """Writes the answer to one request.
+
+    Args:
+        connection: The connection to the caller.
+        body: The request body.
+        must_close: Whether the connection ends with this answer.
+    """
+
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        body: ByteChannel,
+        must_close: Callable[[HTTPHeaders], bool],
+    ) -> None:
+        self._connection = connection
+        self._body = body
+        self._must_close = must_close
+        self._closes = False
+        self._has_begun = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the answer has begun."""
+        return self._has_begun
+
+    async def begin(
+        self, status: int, reason: str, headers: HTTPHeaders
+    ) -> None:
+        """Write the head of the answer."""
+        self._has_begun = True
+        self._closes = self._must_close(headers)
+        if self._closes:
+            headers['Connection'] = 'close'
+        await self._connection.write_headers(
+            ResponseStartLine('HTTP/1.1', status, reason), headers
+        )
+
+    async def write(self, chunk: bytes) -> None:
+        """Write a chunk of the answer and wait until it is sent."""
+        await self._connection.write(chunk)
+
+    async def end(self) -> None:
+        """End an answer whose head and body were written completely."""
+        if not self._body.is_finished:
+            await self._read_remainder()
+        self._connection.finish()
+        stream = self._connection.stream
+        if self._closes and not stream.closed():
+            await stream.write(b'')
+            stream.close()
+
+    async def refuse(self, refusal: RequestRefused) -> None:
+        """Write a refusal as the whole answer."""
+        body = refusal_body(refusal)
+        headers = refusal_headers(refusal, len(body))
+        await self.answer(*refusal_status(refusal), headers, body)
+
+    async def answer(
+        self, status: int, reason: str, headers: HTTPHeaders, body: bytes
+    ) -> None:
+        """Write a whole answer; the headers hold its length in bytes."""
+        await self.begin(status, reason, headers)
+        if body:
+            await self.write(body)
+        await self.end()
+
+    def abort(self) -> None:
+        """Reset the connection, so that no answer looks complete."""
+        self._body.discard()
+        stream = self._connection.stream
+        if not stream.closed():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET
+            )
+        self._connection.close()
+
+    async def _read_remainder(self) -> None:
+        self._body.discard()
+        try:
+            async with asyncio.timeout(_LINGER_S):
+                await self._body.wait_end()
+        except TimeoutError:
+            return
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/front/server.py
@@ -0,0 +1,111 @@
+"""The HTTP server for callers."""
+
+from sys import maxsize
+from typing import Any, Final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+)
+from tornado.iostream import IOStream, UnsatisfiableReadError
+from tornado.netutil import bind_sockets
+
+from geraniumshelf_core.errors import RequestRefused, ResultCode
+from geraniumshelf_daemon.front.caller import Caller, Serve
+from geraniumshelf_daemon.front.refusal import whole_refusal
+
+LARGEST_HEADERS: Final = 16384
+
+_LARGEST_BODY: Final = maxsize
+_CHUNK: Final = 65536
+_BUFFER: Final = 1048576
+_IDLE_TIMEOUT_S: Final = 75
+_BARE_REFUSAL: Final = b'HTTP/1.1 400 Bad Request\r\n\r\n'
+
+
+class FrontServer:
+    """Accepts callers and starts one task per request."""
+
+    def __init__(self, serve: Serve) -> None:
+        self._delegate = _Connections(serve)
+        self._http = _Listener(
+            self._delegate,
+            chunk_size=_CHUNK,
+            max_header_size=LARGEST_HEADERS,
+            max_body_size=_LARGEST_BODY,
+            idle_connection_timeout=_IDLE_TIMEOUT_S,
+        )
+
+    def listen(self, host: str, port: int) -> int:
+        """Listen at an address and return the port.
+
+        Raises:
+            OSError: If the address is in use.
+        """
+        sockets = bind_sockets(port, host)
+        self._http.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    def stop_keep_alive(self) -> None:
+        """Ask callers to close their connections after the next answer."""
+        self._delegate.is_leaving = True
+
+    async def close(self) -> None:
+        """Close the port and all connections, also those with requests."""
+        self._http.stop()
+        await self._http.close_all_connections()
+
+
+class _Listener(HTTPServer):
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        own = _CallerStream(stream.socket, max_buffer_size=_BUFFER)
+        own.set_nodelay(True)
+        super().handle_stream(own, address)
+
+
+class _Connections(HTTPServerConnectionDelegate):
+    def __init__(self, serve: Serve) -> None:
+        self._serve = serve
+        self.is_leaving = False
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        assert isinstance(request_conn, HTTP1Connection)
+        return Caller(request_conn, self._serve, self._ask_leaving)
+
+    def _ask_leaving(self) -> bool:
+        return self.is_leaving
+
+
+class _CallerStream(IOStream):
+    """Gives answers with a result code where tornado gives bare ones."""
+
+    def write(self, data: bytes | memoryview) -> Any:
+        """Replace tornado's answer to a malformed request."""
+        if data == _BARE_REFUSAL:
+            return super().write(
+                whole_refusal(
+                    RequestRefused(
+                        ResultCode.MALFORMED_REQUEST, 'malformed HTTP message'
+                    )
+                )
+            )
+        return super().write(data)
+
+    def close(self, exc_info: Any = False) -> None:
+        """Answer a request with too many headers before closing."""
+        if isinstance(exc_info, UnsatisfiableReadError) and not self.closed():
+            refusal = RequestRefused(
+                ResultCode.HEADERS_TOO_LARGE,
+                f'headers exceed {LARGEST_HEADERS} bytes',
+            )
+            try:
+                self.socket.send(whole_refusal(refusal))
+            except OSError:
+                super().close(exc_info)
+                return
+        super().close(exc_info)
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Decides with peers whether a request runs."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers and exchanges over them."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/dispatcher.py
@@ -0,0 +1,226 @@
+"""Assigns requests to backend servers and lets them wait for slots."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from attrs import frozen
+
+from geraniumshelf_core.configuration.model import Configuration
+from geraniumshelf_core.dispatch.commands import (
+    begin_request,
+    earn_retries,
+    end_request,
+    replace_servers,
+    spend_retry,
+)
+from geraniumshelf_core.dispatch.queries import (
+    SlotLimit,
+    Wish,
+    choose_server,
+    has_servers,
+    whole_slots,
+)
+from geraniumshelf_core.dispatch.state import (
+    DispatchState,
+    Place,
+    RetryBudget,
+    ServerState,
+)
+from geraniumshelf_core.dispatch.waiting.commands import (
+    enqueue,
+    record_end,
+    remove,
+    take_next,
+)
+from geraniumshelf_core.dispatch.waiting.queries import next_ticket
+from geraniumshelf_core.dispatch.waiting.state import (
+    Ticket,
+    TurnedAway,
+    WaitQueue,
+)
+from geraniumshelf_core.errors import RequestRefused, ResultCode
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+from geraniumshelf_daemon.front.interface import FailoverSource
+from geraniumshelf_daemon.observability.events import Event, log_event
+
+_QUEUE_LIMIT: Final = 256
+# Slots also come free without an end of a request: after an ejection or
+# during a slow start.
+_RECHECK_S: Final = 0.2
+
+
+@frozen
+class Need:
+    """A request that needs a backend server.
+
+    Attributes:
+        service: Service name.
+        account: Client account, empty on open routes.
+        may_wait: Whether it yields to other requests.
+        give_up_at: Time until which it may wait for a slot.
+        excluded: Servers that have failed it already.
+    """
+
+    service: str
+    account: str
+    may_wait: bool
+    give_up_at: Nanoseconds
+    excluded: frozenset[str] = frozenset()
+
+
+class Dispatcher:
+    """Owns what this daemon knows of the backend servers."""
+
+    def __init__(
+        self,
+        place: Place,
+        failover: FailoverSource,
+        clock: Callable[[], Nanoseconds],
+        random: Random,
+        slot_limit: SlotLimit = whole_slots,
+    ) -> None:
+        self._state = DispatchState(place)
+        self._failover = failover
+        self._clock = clock
+        self._random = random
+        self._slot_limit = slot_limit
+        self._queues: dict[str, WaitQueue] = {}
+        self._budget = RetryBudget()
+
+    @property
+    def state(self) -> DispatchState:
+        """Return what is known of the backend servers."""
+        return self._state
+
+    def apply(self, configuration: Configuration) -> None:
+        """Take over the backend servers of a revision."""
+        regions = {zone.name: zone.region for zone in configuration.zones}
+        replace_servers(
+            self._state, configuration.servers, regions, self._clock()
+        )
+
+    async def reserve(self, need: Need) -> ServerState:
+        """Return a server with a slot for a request; ``release`` frees it.
+
+        Raises:
+            RequestRefused: ``NO_BACKEND_SERVER`` if none may serve it,
+                ``OVERLOADED`` if none has a slot in time.
+        """
+        earn_retries(self._budget)
+        queue = self._queues.setdefault(need.service, WaitQueue(_QUEUE_LIMIT))
+        if next_ticket(queue) is None:
+            server = self._choose(need)
+            if server is not None:
+                return server
+        wish = self._wish(need)
+        if not has_servers(self._state, wish, self._clock()):
+            raise RequestRefused(
+                ResultCode.NO_BACKEND_SERVER,
+                f'no backend server of {need.service} takes requests',
+                retry_after_s=1,
+            )
+        return await self._wait(queue, need)
+
+    def release(self, server: ServerState, *, is_failure: bool) -> None:
+        """Free a slot and give it to the next waiting request."""
+        now = self._clock()
+        if end_request(self._state, server, is_failure, now):
+            log_event(Event.BACKEND_EJECTED, server.server.name)
+        queue = self._queues[server.server.service]
+        record_end(queue, now)
+        self._serve_queue(queue)
+
+    def may_retry(self) -> bool:
+        """Take one retry out of the budget if it allows one."""
+        return spend_retry(self._budget)
+
+    async def _wait(self, queue: WaitQueue, need: Need) -> ServerState:
+        granted: asyncio.Future[ServerState] = (
+            asyncio.get_running_loop().create_future()
+        )
+        ticket = Ticket(
+            need.account, need.may_wait, need.give_up_at, (granted, need)
+        )
+        admission = enqueue(queue, ticket, self._clock())
+        if isinstance(admission, TurnedAway):
+            raise _overloaded(need, admission.wait)
+        if admission.evicted is not None:
+            _turn_away(admission.evicted)
+        try:
+            return await self._wait_turn(queue, ticket, granted)
+        except asyncio.CancelledError:
+            if granted.done() and not granted.exception():
+                self.release(granted.result(), is_failure=False)
+            raise
+        finally:
+            remove(queue, ticket)
+
+    async def _wait_turn(
+        self,
+        queue: WaitQueue,
+        ticket: Ticket,
+        granted: asyncio.Future[ServerState],
+    ) -> ServerState:
+        while not granted.done():
+            left = ticket.give_up_at - self._clock()
+            if left <= 0:
+                raise _overloaded(ticket.holder[1], SECOND_NS)
+            await asyncio.wait(
+                (granted,), timeout=min(_RECHECK_S, left / SECOND_NS)
+            )
+            if not granted.done():
+                self._serve_queue(queue)
+        return granted.result()
+
+    def _serve_queue(self, queue: WaitQueue) -> None:
+        while (ticket := next_ticket(queue)) is not None:
+            granted, need = ticket.holder
+            server = self._choose(need) or self._choose_any(need)
+            if server is None:
+                return
+            take_next(queue)
+            granted.set_result(server)
+
+    def _choose_any(self, need: Need) -> ServerState | None:
+        # A request that waits because of its exclusions would hold up all
+        # requests behind it.
+        if not need.excluded:
+            return None
+        return self._choose(
+            Need(need.service, need.account, need.may_wait, need.give_up_at)
+        )
+
+    def _choose(self, need: Need) -> ServerState | None:
+        now = self._clock()
+        server = choose_server(
+            self._state,
+            self._wish(need),
+            self._slot_limit,
+            self._random,
+            now,
+        )
+        if server is not None:
+            begin_request(server)
+            if server.region != self._state.place.region:
+                self._failover.count(need.service, server.region, now)
+        return server
+
+    def _wish(self, need: Need) -> Wish:
+        regions = self._failover.regions(need.service, self._clock())
+        return Wish(need.service, regions, need.excluded)
+
+
+def _turn_away(ticket: Ticket) -> None:
+    granted, need = ticket.holder
+    if not granted.done():
+        granted.set_exception(_overloaded(need, SECOND_NS))
+
+
+def _overloaded(need: Need, wait: Nanoseconds) -> RequestRefused:
+    return RequestRefused(
+        ResultCode.OVERLOADED,
+        f'all backend servers of {need.service} are busy',
+        retry_after_s=max(1, -(-wait // SECOND_NS)),
+    )
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/upload.py
@@ -0,0 +1,82 @@
+"""Sends a request body, and again for another attempt."""
+
+from typing import Final
+
+from geraniumshelf_core.errors import RequestRefused, ResultCode
+from geraniumshelf_daemon.upstream.channel import ByteChannel
+from geraniumshelf_daemon.upstream.exchange import Exchange
+from geraniumshelf_daemon.upstream.progress import (
+    Progress,
+    SilentError,
+    within,
+)
+
+# Larger bodies are not held in memory, so they can't be sent again.
+_LARGEST_REPLAY: Final = 65536
+
+
+class Upload:
+    """The body of one request over all attempts.
+
+    Args:
+        body: Chunks that arrive from the caller.
+        has_body: Whether the request announces a body.
+    """
+
+    def __init__(self, body: ByteChannel, *, has_body: bool) -> None:
+        self._body = body
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+        self._is_whole = not has_body
+        self._can_replay = True
+        self._is_waiting = False
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the caller has the next step."""
+        return self._is_waiting
+
+    @property
+    def can_replay(self) -> bool:
+        """Return whether the body can be sent from its beginning."""
+        return self._can_replay
+
+    async def send(self, exchange: Exchange, progress: Progress) -> None:
+        """Send the whole body.
+
+        Raises:
+            RequestRefused: ``CALLER_SILENT`` if the caller stopped sending.
+            OSError: If either connection was closed.
+        """
+        for kept in tuple(self._kept):
+            await exchange.send(kept)
+            progress.steps += 1
+        while not self._is_whole:
+            chunk = await self._take(progress.timeout_s)
+            if chunk:
+                await exchange.send(chunk)
+                progress.steps += 1
+        exchange.finish()
+
+    async def _take(self, timeout_s: float) -> bytes:
+        self._is_waiting = True
+        try:
+            chunk = await within(timeout_s, self._body.take())
+        except SilentError as error:
+            raise RequestRefused(
+                ResultCode.CALLER_SILENT, 'the request body stopped arriving'
+            ) from error
+        else:
+            self._is_whole = not chunk
+            self._keep(chunk)
+            return chunk
+        finally:
+            self._is_waiting = False
+
+    def _keep(self, chunk: bytes) -> None:
+        self._kept_bytes += len(chunk)
+        if self._kept_bytes > _LARGEST_REPLAY:
+            self._can_replay = False
+            self._kept.clear()
+        elif chunk and self._can_replay:
+            self._kept.append(chunk)
--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/backend/__init__.py
@@ -0,0 +1,1 @@
+"""A backend server as its own process."""
--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/link/__init__.py
@@ -0,0 +1,1 @@
+"""A TCP relay that causes the failures of a link."""
--- /dev/null
+++ b/tests/daemon/front/test_data_path.py
@@ -0,0 +1,73 @@
+"""Guards the path of a request to a backend server and back."""
+
+from hashlib import sha256
+
+from tests.daemon.front.harness import KEY, run, world
+
+
+def test_request_reaches_the_server_and_the_answer_the_caller() -> None:
+    """A lost header or byte would break every request."""
+
+    async def scenario() -> None:
+        async with world() as w:
+            answer = await w.ask(path='/desk/list?size=1600')
+            assert answer.status == 200
+            digest = sha256(answer.body).hexdigest()
+            assert answer.headers['body-digest'] == digest
+            assert len(answer.body) == 1600
+            (record,) = w.records
+            assert (record.account, record.path) == (
+                'almaz',
+                '/desk/list?size=1600',
+            )
+
+    run(scenario)
+
+
+def test_bodies_stream_both_ways_over_kept_connections() -> None:
+    """A buffer limit or a mixed-up connection would damage bodies."""
+
+    async def scenario() -> None:
+        async with world() as w:
+            caller = await w.connect()
+            body = b'photograph' * 500_000
+            for _ in range(3):
+                answer = await caller.ask(
+                    'PUT', '/desk/list?size=4800000', body=body
+                )
+                assert (answer.status, len(answer.body)) == (200, 4_800_000)
+            caller.close()
+            expected = sha256(body).hexdigest()
+            assert [r.body_digest for r in w.records] == [expected] * 3
+            assert w.pool.idle_count(f'127.0.0.1:{w.servers[0].port}') == 1
+
+    run(scenario)
+
+
+def test_no_spelling_of_the_key_reaches_the_server() -> None:
+    """A server that sees a key could act for the account."""
+
+    async def scenario() -> None:
+        async with world() as w:
+            spellings = (
+                f'Authorization: Bearer {KEY}',
+                f'geraniumshelf_key: {KEY}',
+                f'GERANIUMSHELF-KEY: {KEY}',
+                f'Proxy-Authorization: Basic {KEY}',
+                f'X-Copy: a {KEY} b',
+                'Geraniumshelf-Account: bekele',
+                'Geraniumshelf_Account: bekele',
+                'Connection: keep-alive, X-Hop',
+                'X-Hop: 1',
+                'X-Kept: 2',
+            )
+            answer = await w.ask(headers=spellings)
+            assert answer.status == 200
+            (record,) = w.records
+            assert not [p for p in record.headers if KEY in p[1]]
+            names = {name.lower() for name, _ in record.headers}
+            assert 'x-kept' in names
+            assert not names & {'x-hop', 'connection', 'authorization'}
+            assert record.account == 'almaz'
+
+    run(scenario)
