--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -6,6 +6,14 @@
     ConfigurationParts,
     ConfigurationRequest,
 )
+from geraniumshelf_core.messages.idempotency import (
+    DeciderMoved,
+    HandoverAccepted,
+    RecordsHandover,
+    RunFinished,
+    RunQuery,
+    RunVerdict,
+)
 from geraniumshelf_core.messages.membership import (
     Failure,
     Heartbeat,
@@ -23,4 +31,10 @@
     4: MemberList,
     10: ConfigurationRequest,
     11: ConfigurationParts,
+    30: RunQuery,
+    31: RunVerdict,
+    32: RunFinished,
+    33: RecordsHandover,
+    34: HandoverAccepted,
+    35: DeciderMoved,
 }
