Add the time line, key-free logs, metrics and the catalogues

Operators need events of all daemons in an order that respects cause, and numbers that they can look up.

--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/lookup/__init__.py
@@ -0,0 +1,1 @@
+"""Client blocks and the order of entry instances in look-up answers."""
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/plan/__init__.py
@@ -0,0 +1,1 @@
+"""Traffic plans and the capped steps between them."""
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of all processes in an order that respects cause."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/lookups/__init__.py
@@ -0,0 +1,1 @@
+"""Answers to look-ups of callers."""
--- a/packages/daemon/src/geraniumshelf_daemon/observability/events.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/events.py
@@ -1,10 +1,16 @@
 """Numbered log events; ``docs/events.md`` is their catalogue."""
 
+from collections.abc import Mapping
 from enum import IntEnum, unique
-from typing import Final
+from typing import Final, Protocol
 
 from loguru import logger
 
+from geraniumshelf_daemon.observability.redaction import (
+    redact_fields,
+    redact_text,
+)
+
 
 @unique
 class Event(IntEnum):
@@ -55,6 +61,8 @@
     PLAN_IN_FORCE = 702
     PLAN_CONFLICT = 703
     PLAN_HELD = 704
+    BACKEND_LEAVING = 705
+    PLAN_REFUSED = 706
 
 
 _WARNINGS: Final = frozenset(
@@ -67,13 +75,38 @@
         Event.SLOT_LOST,
         Event.SLOT_EXPIRED,
         Event.CONNECTION_SILENT,
+        Event.PLAN_REFUSED,
     )
 )
 
 
+class Recorder(Protocol):
+    """Keeps events for the time line."""
+
+    def record(
+        self, event: Event, detail: str, fields: Mapping[str, str]
+    ) -> None:
+        """Keep an event; its detail and fields hold no key."""
+
+
+# At most one: the recorder of this process.
+_recorders: list[Recorder] = []
+
+
+def install_recorder(recorder: Recorder | None) -> None:
+    """Record later events there too; ``None`` ends recording."""
+    _recorders.clear()
+    if recorder is not None:
+        _recorders.append(recorder)
+
+
 def log_event(event: Event, detail: str = '', **fields: object) -> None:
-    """Write a numbered event to the log; fields never hold a key."""
+    """Write a numbered event to the log; keys are removed."""
     level = 'WARNING' if event in _WARNINGS else 'INFO'
-    logger.bind(event=event.value, **fields).log(
-        level, '{} {} {} {}', event.value, event.name, detail, fields or ''
+    safe_detail = redact_text(detail)
+    safe_fields = redact_fields(fields)
+    for recorder in _recorders:
+        recorder.record(event, safe_detail, safe_fields)
+    logger.bind(**safe_fields, event=event.value).log(
+        level, '{} {} {} {}', event.value, event.name, safe_detail, safe_fields
     )
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -0,0 +1,39 @@
+"""The names of all metrics; ``docs/metrics.md`` is their catalogue."""
+
+from enum import StrEnum, unique
+
+
+@unique
+class Metric(StrEnum):
+    """Metric names, without the prefix of the instance."""
+
+    # Look-ups and requests.
+    LOOKUPS = 'lookups'
+    LOOKUP_TIME = 'lookup_time'
+    REQUESTS = 'requests'
+    REQUESTS_REFUSED = 'requests_refused'
+    REQUEST_TIME = 'request_time'
+    REQUESTS_IN_FLIGHT = 'requests_in_flight'
+    RETRIES = 'retries'
+
+    # Allowances.
+    TOKENS_REQUESTED = 'tokens_requested'
+    LOANS_OUT = 'loans_out'
+
+    # Backend servers.
+    BACKENDS_EJECTED = 'backends_ejected'
+    CONNECTIONS_SILENT = 'connections_silent'
+    UPSTREAM_CONNECTIONS = 'upstream_connections'
+
+    # Peers, platform and configuration.
+    PEERS_CONNECTED = 'peers_connected'
+    PLATFORM_CALLS = 'platform_calls'
+    PLATFORM_FAILURES = 'platform_failures'
+    CONFIGURATION_REVISION = 'configuration_revision'
+
+    # Steering.
+    PLAN_REVISION = 'plan_revision'
+    PLAN_PROPOSALS = 'plan_proposals'
+    PLAN_CONFLICTS = 'plan_conflicts'
+    PLAN_MOVED = 'plan_moved_ppm'
+    LOAD_POLLS_FAILED = 'load_polls_failed'
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/redaction.py
@@ -0,0 +1,37 @@
+"""Removal of keys from everything that is logged or recorded."""
+
+import re
+from collections.abc import Mapping
+from typing import Final
+
+REDACTED: Final = '[redacted]'
+
+_SECRET_NAMES: Final = frozenset(
+    ('key', 'api_key', 'authorization', 'geraniumshelf_key', 'caller_key')
+)
+_SECRET_TEXT: Final = re.compile(
+    r'((?:\bgeraniumshelf-key|\bauthorization|\bbearer|\bkey)\W{1,4}'
+    r'(?:bearer\s+)?)[^\s\'",;)}\]]+',
+    re.IGNORECASE,
+)
+_SPACED_NAME: Final = re.compile(r'[^a-z]+')
+
+
+def redact_text(text: str) -> str:
+    """Replace what follows the name of a key header in a text.
+
+    >>> redact_text('Geraniumshelf-Key: abc, next')
+    'Geraniumshelf-Key: [redacted], next'
+    """
+    return _SECRET_TEXT.sub(rf'\1{REDACTED}', text)
+
+
+def redact_fields(fields: Mapping[str, object]) -> dict[str, str]:
+    """Return fields as text, without the values of fields that hold a key."""
+    return {name: _redact_field(name, item) for name, item in fields.items()}
+
+
+def _redact_field(name: str, content: object) -> str:
+    if _SPACED_NAME.sub('_', name.lower()) in _SECRET_NAMES:
+        return REDACTED
+    return redact_text(str(content))
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Load reports and the proposer of traffic plans."""
--- /dev/null
+++ b/tools/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Named measurements; each module adds its own."""
