--- a/packages/core/src/geraniumshelf_core/errors.py
+++ b/packages/core/src/geraniumshelf_core/errors.py
@@ -62,6 +62,7 @@
     OBJECT_MISSING = 3003
     WATCH_TOO_OLD = 3004
     PLATFORM_PROTOCOL = 3005
+    PLAN_MALFORMED = 3006
 
     # Peers.
     PEER_VERSION = 4001
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/loads/commands.py
@@ -0,0 +1,66 @@
+"""Functions that add reports to a load book."""
+
+from geraniumshelf_core.loads.state import (
+    InstanceDemand,
+    LoadBook,
+    ServerLoad,
+)
+from geraniumshelf_core.messages.steering import DemandReport, LoadReport
+from geraniumshelf_core.plan.headroom import is_recent
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
+
+
+def record_loads(book: LoadBook, report: LoadReport, now: Nanoseconds) -> bool:
+    """Add the loads of a zone; return whether the report is new."""
+    if not _is_new(book, report.origin, report.sequence, now):
+        return False
+    measured_at = now - max(0, report.age_ms) * MILLISECOND_NS
+    for server, in_flight, slots, leaving in report.servers:
+        known = book.servers.get(server)
+        if known is None or known.measured_at <= measured_at:
+            book.servers[server] = ServerLoad(
+                max(0, in_flight), max(0, slots), bool(leaving), measured_at
+            )
+    return True
+
+
+def record_demand(
+    book: LoadBook, report: DemandReport, now: Nanoseconds
+) -> bool:
+    """Add the traffic of an instance; return whether the report is new."""
+    if not _is_new(book, f'{report.origin}/demand', report.sequence, now):
+        return False
+    book.demands[report.instance] = InstanceDemand(
+        now,
+        {
+            (service, source): max(0, requests)
+            for service, source, requests in report.requests
+        },
+    )
+    return True
+
+
+def forget_instances(
+    book: LoadBook, live: frozenset[str], now: Nanoseconds
+) -> None:
+    """Drop old reports of instances that are gone and of old origins.
+
+    The traffic of a live instance that stopped reporting is kept, because its
+    callers are still there.
+    """
+    for instance, demand in tuple(book.demands.items()):
+        if instance not in live and not is_recent(demand.received_at, now):
+            book.demands.pop(instance)
+    for origin, (_, received_at) in tuple(book.sequences.items()):
+        if not is_recent(received_at, now):
+            book.sequences.pop(origin)
+
+
+def _is_new(
+    book: LoadBook, origin: str, sequence: int, now: Nanoseconds
+) -> bool:
+    known, _ = book.sequences.get(origin, (-1, 0))
+    if sequence <= known:
+        return False
+    book.sequences[origin] = (sequence, now)
+    return True
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/loads/queries.py
@@ -0,0 +1,86 @@
+"""Functions that read a load book."""
+
+from collections.abc import Collection
+
+from geraniumshelf_core.configuration.model import Configuration
+from geraniumshelf_core.loads.state import LoadBook
+from geraniumshelf_core.plan.headroom import Demand, Supply, is_recent
+from geraniumshelf_core.units import MICRO_TOKENS, Nanoseconds
+
+
+def is_server_leaving(book: LoadBook, server: str) -> bool:
+    """Tell whether a backend server announced that it is leaving."""
+    load = book.servers.get(server)
+    return load is not None and load.is_leaving
+
+
+def declared_capacities(
+    configuration: Configuration, service: str
+) -> dict[str, int]:
+    """Return the declared slots of a service in each region."""
+    regions = {zone.name: zone.region for zone in configuration.zones}
+    capacities: dict[str, int] = {}
+    for server in configuration.servers:
+        region = regions.get(server.zone)
+        if server.service == service and region is not None:
+            capacities[region] = capacities.get(region, 0) + server.slots
+    return capacities
+
+
+def region_supplies(
+    book: LoadBook,
+    configuration: Configuration,
+    service: str,
+    now: Nanoseconds,
+) -> dict[str, Supply]:
+    """Return what the servers of each region reported lately.
+
+    Servers without a recent report, and those of drained zones, add no
+    capacity. A report of more slots than declared counts as declared.
+    """
+    regions = {zone.name: zone.region for zone in configuration.zones}
+    supplies: dict[str, Supply] = {}
+    for server in configuration.servers:
+        load = book.servers.get(server.name)
+        is_counted = (
+            server.service == service
+            and server.zone in regions
+            and server.zone not in configuration.drained
+        )
+        if not is_counted or load is None:
+            continue
+        if not is_recent(load.measured_at, now):
+            continue
+        slots = 0 if load.is_leaving else min(load.slots, server.slots)
+        region = regions[server.zone]
+        earlier = supplies.get(region, Supply(0, 0, now))
+        supplies[region] = Supply(
+            earlier.capacity + slots * MICRO_TOKENS,
+            earlier.load + load.in_flight * MICRO_TOKENS,
+            min(earlier.measured_at, load.measured_at),
+        )
+    return supplies
+
+
+def service_demand(
+    book: LoadBook, service: str, live: Collection[str], now: Nanoseconds
+) -> Demand:
+    """Return the traffic of a service by source region.
+
+    Args:
+        book: Reports.
+        service: Service name.
+        live: Names of the live entry instances.
+        now: Current time, nanoseconds.
+    """
+    by_source: dict[str, int] = {}
+    for demand in book.demands.values():
+        for (name, source), requests in demand.requests.items():
+            if name == service:
+                by_source[source] = by_source.get(source, 0) + requests
+    is_complete = all(
+        instance in book.demands
+        and is_recent(book.demands[instance].received_at, now)
+        for instance in live
+    )
+    return Demand(by_source, is_complete and bool(live))
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/loads/state.py
@@ -0,0 +1,53 @@
+"""What a daemon knows about loads and traffic."""
+
+from collections.abc import Mapping
+
+from attrs import Factory, define, frozen
+
+from geraniumshelf_core.units import Nanoseconds
+
+
+@frozen
+class ServerLoad:
+    """The latest report of one backend server.
+
+    Attributes:
+        in_flight: Requests that it runs.
+        slots: Requests that it says it can run at once.
+        is_leaving: Whether it takes no new work.
+        measured_at: When it was measured, nanoseconds on the own clock.
+    """
+
+    in_flight: int
+    slots: int
+    is_leaving: bool
+    measured_at: Nanoseconds
+
+
+@frozen
+class InstanceDemand:
+    """The latest report of one entry instance.
+
+    Attributes:
+        received_at: When it was received, nanoseconds on the own clock.
+        requests: Mean requests in flight by service and source region,
+            micro-requests.
+    """
+
+    received_at: Nanoseconds
+    requests: Mapping[tuple[str, str], int]
+
+
+@define
+class LoadBook:
+    """All reports received, in memory only.
+
+    Attributes:
+        servers: Loads by server name.
+        demands: Traffic by instance name.
+        sequences: Latest sequence and time of reception by origin.
+    """
+
+    servers: dict[str, ServerLoad] = Factory(dict)
+    demands: dict[str, InstanceDemand] = Factory(dict)
+    sequences: dict[str, tuple[int, Nanoseconds]] = Factory(dict)
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/lookup/answer.py
@@ -0,0 +1,79 @@
+"""The order of entry instances in a look-up answer."""
+
+from collections.abc import Iterable, Sequence
+from itertools import chain, zip_longest
+from typing import Any, Final
+
+from attrs import frozen
+
+# A caller needs a few addresses to fall back on, not the whole fleet; this
+# bounds the size of answers in large fleets.
+MAX_PREFERRED: Final = 8
+MAX_FALLBACK: Final = 8
+
+
+@frozen
+class EntryInstance:
+    """An entry instance that callers may use.
+
+    Attributes:
+        instance: Instance name.
+        zone: Its availability zone.
+        region: Its region.
+        caller_address: IP address and port for callers.
+        request_id_prefix: Prefix of request ids that it decides about.
+        is_leaving: Whether it is shutting down.
+    """
+
+    instance: str
+    zone: str
+    region: str
+    caller_address: str
+    request_id_prefix: str
+    is_leaving: bool = False
+
+
+def order_entries(
+    entries: Iterable[EntryInstance],
+    destination: str,
+    client_region: str,
+    rotation: int,
+) -> tuple[EntryInstance, ...]:
+    """Return the entries of an answer in order of preference.
+
+    Args:
+        entries: All live entries; leaving ones are left out.
+        destination: The region that the plan chose.
+        client_region: The region nearest to the client, the first fallback.
+        rotation: Number by which to rotate, so that load spreads.
+    """
+    by_region: dict[str, list[EntryInstance]] = {}
+    for entry in sorted(entries, key=_sort_key):
+        if not entry.is_leaving:
+            by_region.setdefault(entry.region, []).append(entry)
+    preferred = _rotate(by_region.pop(destination, []), rotation)
+    near = _rotate(by_region.pop(client_region, []), rotation)
+    far = [_rotate(group, rotation) for _, group in sorted(by_region.items())]
+    rows = zip_longest(*_rotate(far, rotation))
+    mixed = filter(None, chain.from_iterable(rows))
+    return (*preferred[:MAX_PREFERRED], *[*near, *mixed][:MAX_FALLBACK])
+
+
+def count_rotations(entries: Iterable[EntryInstance], destination: str) -> int:
+    """Return how many rotations give different answers, at least one."""
+    usable = sum(
+        not entry.is_leaving and entry.region == destination
+        for entry in entries
+    )
+    return max(usable, 1)
+
+
+def _sort_key(entry: EntryInstance) -> tuple[str, str]:
+    return entry.zone, entry.instance
+
+
+def _rotate(group: Sequence[Any], rotation: int) -> list[Any]:
+    if not group:
+        return []
+    cut = rotation % len(group)
+    return [*group[cut:], *group[:cut]]
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/lookup/shares.py
@@ -0,0 +1,148 @@
+"""Intervals of points that the regions own.
+
+The intervals are kept in the plan instead of being derived from the weights:
+three or more regions have no fixed layout under which each change of weights
+moves the least possible share.
+"""
+
+from bisect import bisect_right
+from collections.abc import Iterable, Mapping
+from operator import attrgetter
+
+from attrs import frozen
+
+from geraniumshelf_core.units import PARTS_PER_MILLION
+
+
+@frozen
+class Interval:
+    """A run of points that belongs to one region.
+
+    Attributes:
+        end: First point behind it, parts per million.
+        region: Region name.
+    """
+
+    end: int
+    region: str
+
+
+Shares = tuple[Interval, ...]
+
+_end_of = attrgetter('end')
+
+
+def initial_shares(weights: Mapping[str, int]) -> Shares:
+    """Lay out intervals by weight, in parts per million, that sum to one."""
+    end = 0
+    shares = []
+    for region, weight in sorted(weights.items()):
+        end += weight
+        if weight > 0:
+            shares.append(Interval(end, region))
+    return tuple(shares)
+
+
+def share_weights(shares: Shares) -> dict[str, int]:
+    """Return the weight of each region in parts per million."""
+    weights: dict[str, int] = {}
+    start = 0
+    for interval in shares:
+        width = interval.end - start
+        weights[interval.region] = weights.get(interval.region, 0) + width
+        start = interval.end
+    return weights
+
+
+def region_at(shares: Shares, point: int) -> str:
+    """Return the region that owns a point."""
+    return shares[bisect_right(shares, point, key=_end_of)].region
+
+
+def change_shares(shares: Shares, weights: Mapping[str, int]) -> Shares:
+    """Give each region its new weight and move no more than needed.
+
+    The moved points are exactly the sum of the positive differences. A region
+    that shrinks gives up its smallest intervals first, which keeps their
+    number low.
+
+    Args:
+        shares: Intervals now.
+        weights: New weights in parts per million, with a sum of one million.
+    """
+    old = share_weights(shares)
+    surplus = {
+        region: weight - weights.get(region, 0)
+        for region, weight in old.items()
+        if weight > weights.get(region, 0)
+    }
+    wanted = [
+        (region, weight - old.get(region, 0))
+        for region, weight in sorted(weights.items())
+        if weight > old.get(region, 0)
+    ]
+    kept, freed = _release(shares, surplus)
+    return _join([*kept, *_assign(freed, wanted)])
+
+
+# Start, end and region of a piece.
+_Piece = tuple[int, int, str]
+
+
+def _release(
+    shares: Shares, surplus: dict[str, int]
+) -> tuple[list[_Piece], list[_Piece]]:
+    starts = [0, *(interval.end for interval in shares)]
+    pieces = [
+        (start, interval.end, interval.region)
+        for start, interval in zip(starts, shares, strict=False)
+    ]
+    kept: list[_Piece] = []
+    freed: list[_Piece] = []
+    for start, end, region in sorted(pieces, key=_width):
+        cut = end - min(surplus.get(region, 0), end - start)
+        if cut < end:
+            surplus[region] -= end - cut
+            freed.append((cut, end, region))
+        if start < cut:
+            kept.append((start, cut, region))
+    return kept, freed
+
+
+def _width(piece: _Piece) -> tuple[int, int]:
+    return piece[1] - piece[0], piece[0]
+
+
+def _assign(
+    freed: Iterable[_Piece], wanted: list[tuple[str, int]]
+) -> list[_Piece]:
+    queue = list(reversed(wanted))
+    assigned = []
+    for start, end, _ in sorted(freed):
+        place = start
+        while place < end:
+            region, missing = queue.pop()
+            cut = min(end, place + missing)
+            assigned.append((place, cut, region))
+            if place + missing > cut:
+                queue.append((region, missing - (cut - place)))
+            place = cut
+    return assigned
+
+
+def _join(pieces: Iterable[_Piece]) -> Shares:
+    joined: list[Interval] = []
+    for _, end, region in sorted(pieces):
+        if joined and joined[-1].region == region:
+            joined.pop()
+        joined.append(Interval(end, region))
+    return tuple(joined)
+
+
+def is_complete(shares: Shares) -> bool:
+    """Tell whether the intervals are in order and cover all points."""
+    ends = [interval.end for interval in shares]
+    ascending = all(
+        left < right for left, right in zip([0, *ends], ends, strict=False)
+    )
+    return bool(ends) and ascending and ends[-1] == PARTS_PER_MILLION
--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -7,6 +7,13 @@
     ConfigurationRequest,
 )
 from geraniumshelf_core.messages.membership import Failure, Heartbeat, Hello
+from geraniumshelf_core.messages.steering import (
+    DemandReport,
+    LoadReport,
+    PlanAnnounce,
+    PlanContents,
+    PlanRequest,
+)
 
 # A number is never given to another message; receivers refuse unknown ones.
 # 1-9 membership, 10-19 configuration, 20-29 allowances, 30-39 at-most-once,
@@ -17,4 +24,9 @@
     3: Failure,
     10: ConfigurationRequest,
     11: ConfigurationParts,
+    40: PlanAnnounce,
+    41: PlanRequest,
+    42: PlanContents,
+    43: LoadReport,
+    44: DemandReport,
 }
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/messages/steering.py
@@ -0,0 +1,71 @@
+"""Messages that carry plans, loads and traffic between daemons."""
+
+from attrs import frozen
+
+
+@frozen
+class PlanAnnounce:
+    """Tells a peer which plan revisions the sender has.
+
+    Attributes:
+        revisions: Service names and revisions.
+    """
+
+    revisions: tuple[tuple[str, int], ...]
+
+
+@frozen
+class PlanRequest:
+    """Asks a peer for plans above known revisions.
+
+    Attributes:
+        revisions: Service names and the revisions that the sender has.
+    """
+
+    revisions: tuple[tuple[str, int], ...]
+
+
+@frozen
+class PlanContents:
+    """Encoded plans, as an answer or sent on after a change.
+
+    Attributes:
+        plans: Plans in their stored form.
+    """
+
+    plans: tuple[bytes, ...]
+
+
+@frozen
+class LoadReport:
+    """Loads of the backend servers of one zone.
+
+    Attributes:
+        origin: Unique name of the run of the reporting daemon.
+        sequence: Grows with each report of the origin.
+        age_ms: Time since the loads were measured, milliseconds.
+        servers: Server name, requests in flight, slots, and 1 if leaving.
+    """
+
+    origin: str
+    sequence: int
+    age_ms: int
+    servers: tuple[tuple[str, int, int, int], ...]
+
+
+@frozen
+class DemandReport:
+    """Requests in flight at one entry instance.
+
+    Attributes:
+        instance: Instance name.
+        origin: Unique name of the run of the reporting daemon.
+        sequence: Grows with each report of the origin.
+        requests: Service, source region and mean requests in flight,
+            micro-requests.
+    """
+
+    instance: str
+    origin: str
+    sequence: int
+    requests: tuple[tuple[str, str, int], ...]
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/plan/headroom.py
@@ -0,0 +1,135 @@
+"""How much more load a region may be given."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from attrs import frozen
+
+from geraniumshelf_core.plan.model import Plan
+from geraniumshelf_core.units import (
+    PARTS_PER_MILLION,
+    SECOND_NS,
+    Nanoseconds,
+)
+
+# Part of each region's capacity that no move may use.
+RESERVE_PPM: Final = 150_000
+
+# Reports from other regions may lag this much; older ones say nothing.
+REPORT_AGE_LIMIT_S: Final = 30
+
+
+@frozen
+class Supply:
+    """What the backend servers of a service in one region reported.
+
+    Attributes:
+        capacity: Slots of the servers that reported and are not leaving,
+            micro-requests.
+        load: Requests that they run, micro-requests.
+        measured_at: When the oldest of the reports was made, on the own clock.
+    """
+
+    capacity: int
+    load: int
+    measured_at: Nanoseconds
+
+
+@frozen
+class Demand:
+    """Requests of a service in flight at the entry instances.
+
+    Attributes:
+        by_source: Mean by source region, micro-requests.
+        is_complete: Whether all entry instances reported lately.
+    """
+
+    by_source: Mapping[str, int]
+    is_complete: bool
+
+
+@frozen
+class Move:
+    """Load that a plan revision moved towards a region.
+
+    Attributes:
+        seen_at: When the revision was first seen, on the own clock.
+        destination: Region name.
+        load: Micro-requests.
+    """
+
+    seen_at: Nanoseconds
+    destination: str
+    load: int
+
+
+def is_recent(measured_at: Nanoseconds, now: Nanoseconds) -> bool:
+    """Tell whether a report is recent enough to decide by."""
+    return now - measured_at <= REPORT_AGE_LIMIT_S * SECOND_NS
+
+
+def planned_loads(plan: Plan, demand: Mapping[str, int]) -> dict[str, int]:
+    """Return the load of each region if the plan is in force everywhere."""
+    loads: dict[str, int] = {}
+    for source, requests in demand.items():
+        for region, weight in plan.weights_of(source).items():
+            loads[region] = loads.get(region, 0) + requests * weight
+    return {name: -(-load // PARTS_PER_MILLION) for name, load in loads.items()}
+
+
+def plan_moves(
+    old: Plan, new: Plan, demand: Mapping[str, int], seen_at: Nanoseconds
+) -> tuple[Move, ...]:
+    """Return the loads that a revision moves towards each region."""
+    moves: dict[str, int] = {}
+    for source, requests in demand.items():
+        before = old.weights_of(source)
+        for region, weight in new.weights_of(source).items():
+            gain = max(0, weight - before.get(region, 0)) * requests
+            moves[region] = moves.get(region, 0) + gain
+    return tuple(
+        Move(seen_at, name, -(-load // PARTS_PER_MILLION))
+        for name, load in moves.items()
+        if load
+    )
+
+
+def rooms(
+    supplies: Mapping[str, Supply],
+    planned: Mapping[str, int],
+    moves: Iterable[Move],
+    step: Nanoseconds,
+    now: Nanoseconds,
+) -> dict[str, int]:
+    """Return how much load each region may be given, micro-requests.
+
+    A region without a recent report is left out. The planned load bounds the
+    room as well, so that servers which report to be idle cannot draw more than
+    their capacity.
+
+    Args:
+        supplies: Reports by region.
+        planned: Load of each region under the plan in force.
+        moves: Earlier moves; each shows in reports one step later at the
+            latest.
+        step: Length of a step, nanoseconds.
+        now: Current time, nanoseconds.
+    """
+    unseen: dict[str, int] = {}
+    for move in moves:
+        supply = supplies.get(move.destination)
+        if supply and move.seen_at + step > supply.measured_at:
+            earlier = unseen.get(move.destination, 0)
+            unseen[move.destination] = earlier + move.load
+    return {
+        region: _room(supply, unseen.get(region, 0), planned.get(region, 0))
+        for region, supply in supplies.items()
+        if is_recent(supply.measured_at, now)
+    }
+
+
+def _room(supply: Supply, unseen: int, planned: int) -> int:
+    usable = supply.capacity * (PARTS_PER_MILLION - RESERVE_PPM)
+    return max(
+        0, usable // PARTS_PER_MILLION - max(supply.load + unseen, planned)
+    )
--- /dev/null
+++ b/tests/core/lookup/test_blocks.py
@@ -0,0 +1,65 @@
+"""Guards the block table against wrong sites for clients."""
+
+import ipaddress
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumshelf_core.errors import ConfigurationError
+from geraniumshelf_core.lookup.blocks import NO_SITE, Network, build_table
+
+
+@st.composite
+def _networks(draw: st.DrawFn) -> Network:
+    length = draw(st.sampled_from([0, 1, 2, 8, 24, 30, 31, 32]))
+    # Few distinct bits make nested and neighbouring networks likely.
+    address = draw(st.integers(0, 7)) << 29 | draw(st.integers(0, 7))
+    return Network(address >> (32 - length) << (32 - length), length, 0)
+
+
+@given(
+    st.lists(_networks(), max_size=12, unique=True),
+    st.integers(0, 7),
+    st.integers(0, 9),
+)
+def test_longest_prefix_wins(networks, high, low) -> None:
+    """A client in a nested network must not get the enclosing site."""
+    numbered = [
+        Network(row.start, row.prefix_length, site)
+        for site, row in enumerate(networks)
+    ]
+    table = build_table(numbered)
+    address = high << 29 | low
+    matching = [
+        row
+        for row in numbered
+        if ipaddress.IPv4Address(address)
+        in ipaddress.ip_network((row.start, row.prefix_length))
+    ]
+    best = max(matching, key=lambda row: row.prefix_length, default=None)
+    assert table.find(address)[1] == (best.site if best else NO_SITE)
+    assert list(table.starts) == sorted(set(table.starts))
+
+
+def test_last_address_is_found() -> None:
+    """The end of the address space must not be cut off."""
+    table = build_table([Network(0xFFFFFFFF, 32, 4), Network(0, 1, 2)])
+    assert table.find(0xFFFFFFFF) == (0xFFFFFFFF, 4)
+    assert table.find(0xFFFFFFFE) == (0x80000000, NO_SITE)
+    assert table.find(0) == (0, 2)
+
+
+@pytest.mark.parametrize(
+    'network',
+    [
+        Network(1, 24, 0),
+        Network(0, 33, 0),
+        Network(1 << 32, 32, 0),
+        Network(0, 8, NO_SITE),
+    ],
+)
+def test_wrong_networks_are_refused(network: Network) -> None:
+    """A packed number that overflows would corrupt its neighbours."""
+    with pytest.raises(ConfigurationError):
+        build_table([network])
--- /dev/null
+++ b/tests/core/lookup/test_shares.py
@@ -0,0 +1,117 @@
+"""Guards changes of weights against moving more than they say."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumshelf_core.lookup.answer import (
+    EntryInstance,
+    order_entries,
+)
+from geraniumshelf_core.lookup.point import block_point
+from geraniumshelf_core.lookup.shares import (
+    change_shares,
+    initial_shares,
+    is_complete,
+    region_at,
+    share_weights,
+)
+from geraniumshelf_core.units import PARTS_PER_MILLION
+
+_REGIONS = 'abcde'
+
+
+@st.composite
+def _weights(draw: st.DrawFn) -> dict[str, int]:
+    # Multiples of a thousandth make each point of the grid below decisive.
+    cuts = sorted(draw(st.lists(st.integers(0, 1000), min_size=4, max_size=4)))
+    ends = [*cuts, 1000]
+    starts = [0, *cuts]
+    widths = [end - start for start, end in zip(starts, ends, strict=True)]
+    order = draw(st.permutations(_REGIONS))
+    return {
+        region: width * 1000
+        for region, width in zip(order, widths, strict=True)
+        if width
+    }
+
+
+@given(st.lists(_weights(), min_size=2, max_size=8))
+def test_change_moves_exactly_the_difference(history) -> None:
+    """Points that move without need would break the cap on moved traffic."""
+    shares = initial_shares(history[0])
+    grid = range(0, PARTS_PER_MILLION, 1000)
+    for weights in history[1:]:
+        old = share_weights(shares)
+        changed = change_shares(shares, weights)
+        moved = sum(
+            region_at(shares, point) != region_at(changed, point)
+            for point in grid
+        )
+        grown = sum(
+            max(0, weight - old.get(region, 0))
+            for region, weight in weights.items()
+        )
+        assert moved * 1000 == grown
+        assert share_weights(changed) == weights
+        assert is_complete(changed)
+        shares = changed
+
+
+def test_intervals_do_not_multiply_without_bound() -> None:
+    """Each step back and forth must not leave more splinters in the plan."""
+    first = {'a': 400_000, 'b': 300_000, 'c': 300_000}
+    second = {'a': 333_333, 'b': 333_334, 'c': 333_333}
+    shares = initial_shares(first)
+    for _ in range(200):
+        shares = change_shares(change_shares(shares, second), first)
+    assert len(shares) < 20
+
+
+def test_points_spread_evenly_and_by_service() -> None:
+    """A biased hash would move another share than the plan says."""
+    points = [
+        block_point('drafts', number.to_bytes(4, 'big'))
+        for number in range(20_000)
+    ]
+    below = sum(point < 250_000 for point, _ in points)
+    both = sum(point < 250_000 and not turn % 4 for point, turn in points)
+    assert abs(below - 5000) < 250
+    assert abs(both - 1250) < 150
+    assert block_point('scans', b'1') != block_point('drafts', b'1')
+
+
+@given(
+    st.lists(
+        st.builds(
+            EntryInstance,
+            instance=st.integers(0, 99).map(str),
+            zone=st.just('z'),
+            region=st.sampled_from(_REGIONS),
+            caller_address=st.just('127.0.0.1:1'),
+            request_id_prefix=st.just('p'),
+            is_leaving=st.booleans(),
+        ),
+        max_size=20,
+        unique_by=lambda entry: entry.instance,
+    ),
+    st.integers(0, 2**32 - 1),
+)
+def test_order_prefers_destination_and_omits_leaving(entries, turn) -> None:
+    """A caller sent to a leaving instance could be interrupted."""
+    ordered = order_entries(entries, 'a', 'b', turn)
+    ranks = [{'a': 0, 'b': 1}.get(entry.region, 2) for entry in ordered]
+    assert ranks == sorted(ranks)
+    assert not any(entry.is_leaving for entry in ordered)
+    assert len(set(ordered)) == len(ordered)
+    live = [entry for entry in entries if not entry.is_leaving]
+    assert bool(ordered) == bool(live)
+
+
+def test_rotation_spreads_first_place() -> None:
+    """One instance first in all answers would get all traffic."""
+    entries = [
+        EntryInstance(str(number), 'z', 'a', f'{number}', 'p')
+        for number in range(3)
+    ]
+    firsts = {order_entries(entries, 'a', 'a', turn)[0] for turn in range(3)}
+    assert firsts == set(entries)
--- /dev/null
+++ b/tests/core/plan/test_steps.py
@@ -0,0 +1,182 @@
+"""Guards steps of a plan against exceeding the cap, room or ramp."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumshelf_core.configuration.model import (
+    Configuration,
+    Region,
+    TrafficWeight,
+    Zone,
+)
+from geraniumshelf_core.errors import PlatformError, ResultCode
+from geraniumshelf_core.lookup.shares import is_complete
+from geraniumshelf_core.plan.headroom import (
+    Demand,
+    Move,
+    Supply,
+    planned_loads,
+    rooms,
+)
+from geraniumshelf_core.plan.model import Plan, decode_plan, encode_plan
+from geraniumshelf_core.plan.steps import Situation, first_plan, next_plan
+from geraniumshelf_core.plan.target import (
+    drained_regions,
+    scale_weights,
+    target_weights,
+)
+from geraniumshelf_core.units import MICRO_TOKENS, SECOND_NS
+
+_REGIONS = 'abc'
+_AMOUNTS = st.fixed_dictionaries(
+    {region: st.integers(0, 30) for region in _REGIONS}
+).filter(lambda amounts: sum(amounts.values()) > 0)
+_TARGETS = st.fixed_dictionaries(
+    {region: _AMOUNTS.map(scale_weights) for region in _REGIONS}
+)
+_LOADS = st.fixed_dictionaries(
+    {region: st.integers(0, 40 * MICRO_TOKENS) for region in _REGIONS}
+)
+
+
+def _situation(target, demand, room, cap=100_000, is_complete=True):
+    return Situation(target, {}, Demand(demand, is_complete), room, cap)
+
+
+def _moved(old: Plan, new: Plan, source: str) -> int:
+    before = old.weights_of(source)
+    return sum(
+        max(0, weight - before.get(region, 0))
+        for region, weight in new.weights_of(source).items()
+    )
+
+
+@given(_TARGETS, _TARGETS, _LOADS, _LOADS, st.integers(1, 500_000))
+def test_step_stays_within_cap_room_and_ramp(
+    start, target, demand, room, cap
+) -> None:
+    """A step above a bound could overload a region or hit cold caches."""
+    plan = first_plan('s', _situation(start, demand, room), 'p')
+    step = next_plan(plan, _situation(target, demand, room, cap), 'q')
+    if step.plan is None:
+        return
+    total = sum(demand.values())
+    moved = sum(
+        _moved(plan, step.plan, source) * demand[source] for source in _REGIONS
+    )
+    if total:
+        assert moved <= cap * total
+    before = planned_loads(plan, demand)
+    after = planned_loads(step.plan, demand)
+    for region in _REGIONS:
+        old, new = before.get(region, 0), after.get(region, 0)
+        assert new - old <= max(room[region], 0) + 3
+        # The least weight of idle sources adds up to 2% to the total.
+        assert new <= max(2 * old, 0.05 * total) + 0.03 * total + 3
+    assert step.plan.revision == plan.revision + 1
+    assert all(is_complete(source.shares) for source in step.plan.sources)
+
+
+@given(_TARGETS, _TARGETS, _LOADS, st.integers(1, 500_000))
+def test_unknown_traffic_bounds_each_source(start, target, demand, cap) -> None:
+    """With reports missing the cap must hold whatever the traffic is."""
+    room = dict.fromkeys(_REGIONS, 10**12)
+    plan = first_plan('s', _situation(start, demand, room), 'p')
+    step = next_plan(
+        plan, _situation(target, demand, room, cap, is_complete=False), 'q'
+    )
+    if step.plan is not None:
+        for source in _REGIONS:
+            assert _moved(plan, step.plan, source) <= cap
+
+
+@given(_TARGETS, _TARGETS, _LOADS)
+def test_steps_reach_the_target(start, target, demand) -> None:
+    """A plan that never arrives would leave a drain unfinished."""
+    room = dict.fromkeys(_REGIONS, 10**12)
+    plan = first_plan('s', _situation(start, demand, room), 'p')
+    situation = _situation(target, demand, room, cap=200_000)
+    for _ in range(200):
+        step = next_plan(plan, situation, 'q')
+        if step.plan is None:
+            break
+        plan = step.plan
+    assert not step.is_held
+    for source in _REGIONS:
+        assert plan.weights_of(source) == target[source]
+
+
+def test_room_counts_unseen_moves_and_lying_reports() -> None:
+    """A region that seems idle must not be filled twice."""
+    now = 100 * SECOND_NS
+    step = 8 * SECOND_NS
+    supplies = {
+        'a': Supply(20_000_000, 2_000_000, now - 10 * SECOND_NS),
+        'b': Supply(20_000_000, 0, now),
+        'c': Supply(20_000_000, 0, now - 31 * SECOND_NS),
+    }
+    moves = [
+        Move(now - 12 * SECOND_NS, 'a', 5_000_000),
+        Move(now - 30 * SECOND_NS, 'a', 3_000_000),
+    ]
+    planned = {'a': 1_000_000, 'b': 16_000_000}
+    assert rooms(supplies, planned, moves, step, now) == {
+        'a': 10_000_000,
+        'b': 1_000_000,
+    }
+
+
+def test_drained_share_passes_to_other_weights() -> None:
+    """A drain needs a destination even where none was declared."""
+    configuration = Configuration(
+        'd',
+        regions=(Region('a'), Region('b'), Region('c')),
+        zones=tuple(Zone(f'{name}1', name, 1) for name in _REGIONS),
+        weights=(
+            TrafficWeight('s', 'a', 'a', 600_000),
+            TrafficWeight('s', 'a', 'b', 400_000),
+            TrafficWeight('s', 'c', 'c', 1_000_000),
+            TrafficWeight('s', 'c', 'a', 0, failover_ppm=50_000),
+        ),
+        drained=('b1', 'c'),
+    )
+    unusable = drained_regions(configuration)
+    assert unusable == {'b', 'c'}
+    slots = {'a': 5, 'b': 5, 'c': 5}
+    targets = target_weights(configuration, 's', slots, unusable)
+    assert targets == {region: {'a': 1_000_000} for region in _REGIONS}
+    targets = target_weights(configuration, 's', slots, {'a', 'b'})
+    assert targets['a'] == {'c': 1_000_000}
+    assert target_weights(configuration, 's', slots, set('abc')) == {}
+
+
+@given(_TARGETS)
+def test_plan_survives_storage(target) -> None:
+    """A plan that reads back changed would move traffic without a step."""
+    plan = first_plan('s', _situation(target, {}, {}), 'p')
+    assert decode_plan(encode_plan(plan)) == plan
+
+
+@given(st.binary(max_size=40), st.integers(0, 200), st.integers(0, 255))
+def test_damaged_plans_are_refused(noise, place, byte) -> None:
+    """A damaged plan must not steer traffic or end the task."""
+    whole = encode_plan(
+        first_plan('s', _situation({'a': {'a': 1_000_000}}, {}, {}), 'p')
+    )
+    damaged = bytearray(whole)
+    damaged[place % len(whole)] = byte
+    for encoded in (noise, bytes(damaged)):
+        try:
+            plan = decode_plan(encoded)
+        except PlatformError as error:
+            assert error.code is ResultCode.PLAN_MALFORMED
+        else:
+            assert all(is_complete(row.shares) for row in plan.sources)
+
+
+def test_shares_that_do_not_add_up_are_refused() -> None:
+    """A point without an owner would leave callers without an answer."""
+    plan = first_plan('s', _situation({'a': {'a': 999_999}}, {}, {}), 'p')
+    with pytest.raises(PlatformError, match='do not cover'):
+        decode_plan(encode_plan(plan))
