--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -20,6 +20,13 @@
     Hello,
     MemberList,
 )
+from geraniumshelf_core.messages.steering import (
+    DemandReport,
+    LoadReport,
+    PlanAnnounce,
+    PlanContents,
+    PlanRequest,
+)
 
 # A number is never given to another message; receivers refuse unknown ones.
 # 1-9 membership, 10-19 configuration, 20-29 allowances, 30-39 at-most-once,
@@ -37,4 +44,9 @@
     33: RecordsHandover,
     34: HandoverAccepted,
     35: DeciderMoved,
+    40: PlanAnnounce,
+    41: PlanRequest,
+    42: PlanContents,
+    43: LoadReport,
+    44: DemandReport,
 }
--- a/packages/daemon/src/geraniumshelf_daemon/front/refusal.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/refusal.py
@@ -8,7 +8,7 @@
 from geraniumshelf_core.errors import RequestRefused, ResultCode
 from geraniumshelf_daemon.front.headers import CODE_HEADER, RAN_HEADER
 
-_STATUS: Final = {
+STATUSES: Final = {
     ResultCode.MALFORMED_REQUEST: 400,
     ResultCode.UNKNOWN_SERVICE: 404,
     ResultCode.UNKNOWN_ROUTE: 404,
@@ -54,7 +54,7 @@
 
 def refusal_status(refusal: RequestRefused) -> tuple[int, str]:
     """Return the HTTP status and reason of a refusal."""
-    status = _STATUS[refusal.code]
+    status = STATUSES[refusal.code]
     return status, _REASONS[status]
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/peers/link.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/link.py
@@ -9,8 +9,8 @@
 
 from geraniumshelf_core.codec import Frame, decode_frame, encode_frame
 from geraniumshelf_core.errors import GeraniumshelfError, PeerError, ResultCode
-from geraniumshelf_core.logical_clock import LogicalClock
 from geraniumshelf_core.messages.membership import Failure, Hello
+from geraniumshelf_core.timeline.clock import LogicalClock
 from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.peers.interface import Handler
--- a/packages/daemon/src/geraniumshelf_daemon/peers/links.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/links.py
@@ -11,8 +11,8 @@
 from websockets.exceptions import ConnectionClosed
 
 from geraniumshelf_core.errors import PeerError, ResultCode
-from geraniumshelf_core.logical_clock import LogicalClock
 from geraniumshelf_core.messages.membership import Heartbeat, Hello
+from geraniumshelf_core.timeline.clock import LogicalClock
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.peers.dialer import (
     CLOSE_TIMEOUT_S,
--- a/packages/standins/src/geraniumshelf_standins/fleet/deployment.py
+++ b/packages/standins/src/geraniumshelf_standins/fleet/deployment.py
@@ -3,12 +3,10 @@
 from pathlib import Path
 
 from attrs import frozen
-from geraniumshelf_core.configuration.reader import (
-    SourceText,
-    read_configuration,
-)
 
+from geraniumshelf_core.configuration.documents import SourceText
 from geraniumshelf_core.configuration.model import Configuration
+from geraniumshelf_core.configuration.reader import read_configuration
 
 
 @frozen
--- a/packages/standins/src/geraniumshelf_standins/fleet/fleet.py
+++ b/packages/standins/src/geraniumshelf_standins/fleet/fleet.py
@@ -160,7 +160,7 @@
         """
         child = await start_module(
             'operator',
-            'geraniumshelf_cli',
+            'geraniumshelf_cli.main',
             arguments,
             self.folder / f'operator-{id(arguments):x}',
             {'GERANIUMSHELF_PLATFORM_URL': self.platform_url},
--- a/tests/daemon/peers/test_links.py
+++ b/tests/daemon/peers/test_links.py
@@ -12,12 +12,12 @@
 
 from geraniumshelf_core.codec import Frame, decode_frame, encode_frame
 from geraniumshelf_core.errors import PeerError, ResultCode
-from geraniumshelf_core.logical_clock import LogicalClock
 from geraniumshelf_core.messages.configuration import (
     ConfigurationParts,
     ConfigurationRequest,
 )
 from geraniumshelf_core.messages.membership import Heartbeat, Hello
+from geraniumshelf_core.timeline.clock import LogicalClock
 from geraniumshelf_core.units import SECOND_NS
 from geraniumshelf_daemon.peers.links import PeerLinks
 
