Propose capped plan steps and collect loads and traffic

Plans move only through steps that keep the cap, the regions' headroom and the ramp into cold caches.

--- a/packages/core/src/geraniumshelf_core/loads/queries.py
+++ b/packages/core/src/geraniumshelf_core/loads/queries.py
@@ -83,4 +83,5 @@
         and is_recent(book.demands[instance].received_at, now)
         for instance in live
     )
-    return Demand(by_source, is_complete and bool(live))
+    is_known = bool(live) and book.demands.keys() >= set(live)
+    return Demand(by_source, is_complete and is_known, is_known)
--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -12,7 +12,6 @@
     LoadReport,
     PlanAnnounce,
     PlanContents,
-    PlanRequest,
 )
 
 # A number is never given to another message; receivers refuse unknown ones.
@@ -25,8 +24,7 @@
     10: ConfigurationRequest,
     11: ConfigurationParts,
     40: PlanAnnounce,
-    41: PlanRequest,
+    41: LoadReport,
     42: PlanContents,
-    43: LoadReport,
-    44: DemandReport,
+    43: DemandReport,
 }
--- a/packages/core/src/geraniumshelf_core/messages/steering.py
+++ b/packages/core/src/geraniumshelf_core/messages/steering.py
@@ -7,19 +7,10 @@
 class PlanAnnounce:
     """Tells a peer which plan revisions the sender has.
 
-    Attributes:
-        revisions: Service names and revisions.
-    """
-
-    revisions: tuple[tuple[str, int], ...]
-
-
-@frozen
-class PlanRequest:
-    """Asks a peer for plans above known revisions.
+    A peer that has higher ones sends them.
 
     Attributes:
-        revisions: Service names and the revisions that the sender has.
+        revisions: Service names and revisions.
     """
 
     revisions: tuple[tuple[str, int], ...]
@@ -27,7 +18,7 @@
 
 @frozen
 class PlanContents:
-    """Encoded plans, as an answer or sent on after a change.
+    """Plans that the receiver may lack.
 
     Attributes:
         plans: Plans in their stored form.
--- a/packages/core/src/geraniumshelf_core/plan/headroom.py
+++ b/packages/core/src/geraniumshelf_core/plan/headroom.py
@@ -42,10 +42,13 @@
     Attributes:
         by_source: Mean by source region, micro-requests.
         is_complete: Whether all entry instances reported lately.
+        is_known: Whether all entry instances ever reported; without this
+            nothing is known about the load that a move would bring.
     """
 
     by_source: Mapping[str, int]
     is_complete: bool
+    is_known: bool = True
 
 
 @frozen
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/assessment.py
@@ -0,0 +1,123 @@
+"""What the next step of a plan depends on, out of all that is known."""
+
+from attrs import frozen
+
+from geraniumshelf_core.configuration.model import Configuration, Service
+from geraniumshelf_core.loads.queries import (
+    declared_capacities,
+    region_supplies,
+    service_demand,
+)
+from geraniumshelf_core.loads.state import LoadBook
+from geraniumshelf_core.plan.headroom import (
+    Demand,
+    Move,
+    plan_moves,
+    planned_loads,
+    rooms,
+)
+from geraniumshelf_core.plan.model import Failover
+from geraniumshelf_core.plan.steps import Situation
+from geraniumshelf_core.plan.target import (
+    drained_regions,
+    failover_allowances,
+    target_weights,
+)
+from geraniumshelf_core.plan.timing import step_length
+from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.steering.plans import HeldPlan
+
+
+@frozen
+class View:
+    """What a proposer sees.
+
+    Attributes:
+        held: The plan, ``None`` before the first.
+        live: Names of the live entry instances.
+        failed: Names of the failed regions.
+    """
+
+    held: HeldPlan | None
+    live: frozenset[str]
+    failed: frozenset[str]
+
+
+def assess(
+    configuration: Configuration,
+    service: Service,
+    book: LoadBook,
+    view: View,
+    now: Nanoseconds,
+) -> Situation:
+    """Return the situation of a service.
+
+    Args:
+        configuration: The configuration in force.
+        service: The service.
+        book: Reports of loads and traffic.
+        view: The plan, the live instances and the failed regions.
+        now: Current time, nanoseconds.
+    """
+    held = view.held
+    unusable = drained_regions(configuration) | view.failed
+    demand = service_demand(book, service.name, view.live, now)
+    supplies = (
+        region_supplies(book, configuration, service.name, now)
+        if demand.is_known
+        else {}
+    )
+    return Situation(
+        target_weights(
+            configuration,
+            service.name,
+            declared_capacities(configuration, service.name),
+            unusable,
+        ),
+        _failover(configuration, service.name, unusable),
+        demand,
+        rooms(
+            supplies,
+            planned_loads(held.plan, demand.by_source) if held else {},
+            _moves(held, demand),
+            step_length(service),
+            now,
+        ),
+        service.shift_cap.share_ppm,
+    )
+
+
+def _failover(
+    configuration: Configuration, service: str, unusable: frozenset[str]
+) -> dict[str, Failover]:
+    return {
+        region.name: _usable_allowances(
+            configuration, service, region.name, unusable
+        )
+        for region in configuration.regions
+    }
+
+
+def _usable_allowances(
+    configuration: Configuration,
+    service: str,
+    source: str,
+    unusable: frozenset[str],
+) -> Failover:
+    return tuple(
+        pair
+        for pair in failover_allowances(configuration, service, source)
+        if pair[0] not in unusable
+    )
+
+
+def _moves(held: HeldPlan | None, demand: Demand) -> tuple[Move, ...]:
+    if held is None:
+        return ()
+    return tuple(
+        move
+        for change in held.changes
+        for move in plan_moves(
+            change.before, change.after, demand.by_source, change.seen_at
+        )
+    )
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/collector.py
@@ -0,0 +1,171 @@
+"""Collection and sharing of loads and traffic."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any, Final
+
+from attrs import Factory, define
+
+from geraniumshelf_core.configuration.model import BackendServer
+from geraniumshelf_core.loads.commands import (
+    forget_instances,
+    record_demand,
+    record_loads,
+)
+from geraniumshelf_core.loads.queries import is_server_leaving
+from geraniumshelf_core.loads.state import LoadBook
+from geraniumshelf_core.messages.rows import check_rows
+from geraniumshelf_core.messages.steering import DemandReport, LoadReport
+from geraniumshelf_daemon.lookups.interface import EntrySource
+from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import Metrics
+from geraniumshelf_daemon.peers.interface import PeerNetwork
+from geraniumshelf_daemon.replication.interface import ConfigurationSource
+from geraniumshelf_daemon.steering.demand import DemandMeter
+from geraniumshelf_daemon.steering.interface import (
+    Clock,
+    FetchLoad,
+    Identity,
+    ServerAnswer,
+    WatcherSource,
+)
+
+_PERIOD_S: Final = 1
+
+# Peers of the own region learn of leaving servers with each poll; other
+# regions only steer by the loads, which may lag, and get fewer reports.
+_FAR_ROUNDS: Final = 5
+_DEMAND_ROUNDS: Final = 2
+
+_SERVER_ROW: Final = (str, int, int, int)
+_DEMAND_ROW: Final = (str, str, int)
+
+
+@define
+class LoadCollector:
+    """Polls the backend servers of the own zone and shares what it learns.
+
+    Attributes:
+        identity: Who this daemon is.
+        configurations: The configuration in force.
+        entries: The live entry instances.
+        peers: Links to peers.
+        watchers: Tells whether this daemon polls.
+        fetch: Asks one backend server.
+        clock: Source of the current time.
+        meter: Traffic at this daemon.
+        book: All reports; others read it.
+        metrics: Where failed polls are counted.
+    """
+
+    identity: Identity
+    configurations: ConfigurationSource
+    entries: EntrySource
+    peers: PeerNetwork
+    watchers: WatcherSource
+    fetch: FetchLoad
+    clock: Clock
+    meter: DemandMeter = Factory(DemandMeter)
+    book: LoadBook = Factory(LoadBook)
+    metrics: Metrics = Factory(Metrics)
+    _round: int = 0
+
+    def register(self) -> None:
+        """Receive reports from peers."""
+        self.peers.register(LoadReport, self._on_loads)
+        self.peers.register(DemandReport, self._on_demand)
+
+    async def run(self) -> None:
+        """Collect and share once a second, for ever."""
+        while True:
+            await self.collect()
+            await asyncio.sleep(_PERIOD_S)
+
+    async def collect(self) -> None:
+        """Poll if this daemon is a watcher, and share what is due."""
+        self._round += 1
+        if self.watchers.is_watcher(self.clock()):
+            await self._poll()
+        if self._round % _DEMAND_ROUNDS == 0:
+            self._report_demand()
+        live = frozenset(entry.instance for entry in self.entries.entries())
+        forget_instances(self.book, live, self.clock())
+
+    async def _poll(self) -> None:
+        configuration = self.configurations.configuration
+        servers = [] if configuration is None else configuration.servers
+        own = [row for row in servers if row.zone == self.identity.zone]
+        answers = await asyncio.gather(
+            *(self.fetch(server.address) for server in own)
+        )
+        report = LoadReport(
+            self.identity.origin,
+            self._round,
+            0,
+            tuple(self._rows(zip(own, answers, strict=True))),
+        )
+        if not report.servers:
+            return
+        self._record(report)
+        is_far_due = self._round % _FAR_ROUNDS == 0
+        regions = {row.instance: row.region for row in self.entries.entries()}
+        for peer in self.peers.connected():
+            if is_far_due or regions.get(peer) == self.identity.region:
+                self.peers.notify(peer, report)
+
+    def _rows(
+        self, answers: Iterable[tuple[BackendServer, ServerAnswer | None]]
+    ) -> Iterable[tuple[str, int, int, int]]:
+        for server, answer in answers:
+            if answer is None:
+                self.metrics.count(Metric.LOAD_POLLS_FAILED)
+                continue
+            yield (
+                server.name,
+                answer.in_flight,
+                answer.slots,
+                int(answer.is_leaving),
+            )
+
+    def _record(self, report: LoadReport) -> bool:
+        leaving = [
+            name
+            for name, _, _, is_leaving in report.servers
+            if is_leaving and not is_server_leaving(self.book, name)
+        ]
+        is_new = record_loads(self.book, report, self.clock())
+        for name in leaving if is_new else ():
+            log_event(Event.BACKEND_LEAVING, server=name)
+        return is_new
+
+    def _report_demand(self) -> None:
+        now = self.clock()
+        report = DemandReport(
+            self.identity.instance,
+            self.identity.origin,
+            self._round,
+            self.meter.take(now),
+        )
+        record_demand(self.book, report, now)
+        for peer in self.peers.connected():
+            self.peers.notify(peer, report)
+
+    async def _on_loads(self, peer: str, report: LoadReport) -> None:
+        check_rows(report.servers, _SERVER_ROW)
+        if self._record(report):
+            self._forward(peer, report)
+
+    async def _on_demand(self, peer: str, report: DemandReport) -> None:
+        check_rows(report.requests, _DEMAND_ROW)
+        if record_demand(self.book, report, self.clock()):
+            self._forward(peer, report)
+
+    def _forward(self, sender: str, report: Any) -> None:
+        # In a full mesh the origin has reached all peers itself.
+        linked = self.peers.connected()
+        if len(linked) + 1 >= len(self.entries.entries()):
+            return
+        for peer in linked:
+            if peer != sender:
+                self.peers.notify(peer, report)
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/demand.py
@@ -0,0 +1,61 @@
+"""Requests in flight at this entry instance, by service and source region."""
+
+from typing import Final
+
+from attrs import Factory, define
+
+from geraniumshelf_core.units import MICRO_TOKENS, Nanoseconds
+
+# Weight of the latest period in the mean; four periods of 2 s smooth out the
+# chance of single requests.
+_SMOOTHING: Final = 4
+
+
+@define
+class _Count:
+    in_flight: int
+    changed_at: Nanoseconds
+    busy: Nanoseconds = 0
+    mean: int = 0
+
+    def advance(self, now: Nanoseconds) -> None:
+        self.busy += self.in_flight * (now - self.changed_at)
+        self.changed_at = now
+
+
+@define
+class DemandMeter:
+    """Measures the mean number of requests in flight."""
+
+    _counts: dict[tuple[str, str], _Count] = Factory(dict)
+    _taken_at: Nanoseconds = 0
+
+    def enter(self, service: str, source: str, now: Nanoseconds) -> None:
+        """Count a request that arrived from clients of a region."""
+        self._change(service, source, 1, now)
+
+    def leave(self, service: str, source: str, now: Nanoseconds) -> None:
+        """Count the end of a request."""
+        self._change(service, source, -1, now)
+
+    def take(self, now: Nanoseconds) -> tuple[tuple[str, str, int], ...]:
+        """Return service, source and mean in micro-requests; start anew."""
+        elapsed = max(1, now - self._taken_at)
+        self._taken_at = now
+        for name, count in tuple(self._counts.items()):
+            count.advance(now)
+            latest = count.busy * MICRO_TOKENS // elapsed
+            count.mean += (latest - count.mean) // _SMOOTHING
+            count.busy = 0
+            if count.mean <= 0 and not count.in_flight:
+                self._counts.pop(name)
+        return tuple(
+            (*key, max(0, kept.mean)) for key, kept in self._counts.items()
+        )
+
+    def _change(
+        self, service: str, source: str, change: int, now: Nanoseconds
+    ) -> None:
+        count = self._counts.setdefault((service, source), _Count(0, now))
+        count.advance(now)
+        count.in_flight += change
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/plans.py
@@ -0,0 +1,104 @@
+"""The plans in force at this daemon."""
+
+from collections import deque
+from typing import Final
+
+from attrs import Factory, define, frozen
+
+from geraniumshelf_core.plan.model import Plan
+from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.observability.events import Event, log_event
+
+# Reports lag at most 30 s and a step lasts at least 4 s.
+_CHANGES_KEPT: Final = 16
+
+
+@frozen
+class PlanChange:
+    """A change from one held revision to a higher one.
+
+    Attributes:
+        seen_at: When it was first seen, nanoseconds on the own clock.
+        before: The earlier revision.
+        after: The later revision.
+    """
+
+    seen_at: Nanoseconds
+    before: Plan
+    after: Plan
+
+
+@define
+class HeldPlan:
+    """The highest revision of a plan that was seen.
+
+    Attributes:
+        plan: The plan.
+        first_seen: When it was first seen, nanoseconds on the own clock.
+        stored_version: Version of its platform object, ``None`` if it came
+            from a peer.
+        changes: Latest changes, oldest first.
+    """
+
+    plan: Plan
+    first_seen: Nanoseconds
+    stored_version: int | None
+    changes: deque[PlanChange] = Factory(lambda: deque(maxlen=_CHANGES_KEPT))
+
+
+class PlanService:
+    """Holds the highest revision of each plan; it never moves back."""
+
+    def __init__(self) -> None:
+        """Start without plans."""
+        self._held: dict[str, HeldPlan] = {}
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Return a number that grows with each change of any plan."""
+        return self._version
+
+    def plan(self, service: str) -> Plan | None:
+        """Return the plan of a service, ``None`` before the first."""
+        held = self._held.get(service)
+        return None if held is None else held.plan
+
+    def held(self, service: str) -> HeldPlan | None:
+        """Return the plan with what is known of its arrival."""
+        return self._held.get(service)
+
+    def plans(self) -> tuple[Plan, ...]:
+        """Return all plans in force."""
+        return tuple(held.plan for held in self._held.values())
+
+    def accept(
+        self, plan: Plan, now: Nanoseconds, stored_version: int | None = None
+    ) -> bool:
+        """Put a plan in force if its revision is higher.
+
+        Args:
+            plan: A plan from the platform or a peer.
+            now: Current time, nanoseconds.
+            stored_version: Version of its platform object, if known.
+
+        Returns:
+            Whether it came into force.
+        """
+        held = self._held.get(plan.service)
+        if held is None:
+            self._held[plan.service] = HeldPlan(plan, now, stored_version)
+        elif plan.revision > held.plan.revision:
+            held.changes.append(PlanChange(now, held.plan, plan))
+            held.plan = plan
+            held.first_seen = now
+            held.stored_version = stored_version
+        else:
+            if plan == held.plan and stored_version is not None:
+                held.stored_version = stored_version
+            return False
+        self._version += 1
+        log_event(
+            Event.PLAN_IN_FORCE, service=plan.service, revision=plan.revision
+        )
+        return True
--- a/tests/core/loads/test_loads.py
+++ b/tests/core/loads/test_loads.py
@@ -63,7 +63,9 @@
     book = LoadBook()
     live = frozenset('ij')
     record_demand(book, DemandReport('i', 'i#1', 1, (('s', 'a', 7),)), _NOW)
-    assert service_demand(book, 's', live, _NOW) == Demand({'a': 7}, False)
+    assert service_demand(book, 's', live, _NOW) == Demand(
+        {'a': 7}, False, False
+    )
     record_demand(book, DemandReport('j', 'j#1', 1, (('s', 'a', 2),)), _NOW)
     assert service_demand(book, 's', live, _NOW) == Demand({'a': 9}, True)
     later = _NOW + 31 * SECOND_NS
--- /dev/null
+++ b/tests/daemon/steering/simulation.py
@@ -0,0 +1,213 @@
+"""A small world of proposers, a faulty platform, reports and callers."""
+
+from collections.abc import Coroutine
+from typing import Any
+
+from attrs import Factory, define
+
+from geraniumshelf_core.configuration.model import (
+    BackendServer,
+    Configuration,
+    Region,
+    Service,
+    ShiftCap,
+    Zone,
+)
+from geraniumshelf_core.errors import PlatformError, ResultCode
+from geraniumshelf_core.loads.commands import record_demand, record_loads
+from geraniumshelf_core.loads.state import LoadBook
+from geraniumshelf_core.lookup.answer import EntryInstance
+from geraniumshelf_core.messages.steering import DemandReport, LoadReport
+from geraniumshelf_core.plan.model import Plan, decode_plan
+from geraniumshelf_core.units import MICRO_TOKENS, SECOND_NS
+from geraniumshelf_daemon.platform.interface import (
+    ListedInstance,
+    Snapshot,
+    StoredObject,
+)
+from geraniumshelf_daemon.steering.exchange import PlanExchange
+from geraniumshelf_daemon.steering.plans import PlanService
+from geraniumshelf_daemon.steering.proposer import PlanProposer
+
+REGIONS = ('a', 'b', 'c')
+SLOTS = 20
+CAP_PPM = 100_000
+STEP_S = 10
+TTL_S = 5
+ENTRIES = tuple(
+    EntryInstance(region, f'{region}1', region, region, 'p')
+    for region in REGIONS
+)
+
+
+def drive(coroutine: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    raise AssertionError('the coroutine waits')
+
+
+@define
+class World:
+    """Time, configuration, entries and watchers, as all daemons see them."""
+
+    now: int = 1000 * SECOND_NS
+    revision: int = 1
+    version: int = 1
+    drained: tuple[str, ...] = ()
+    cap_ppm: int = CAP_PPM
+    members: tuple[EntryInstance, ...] = ENTRIES
+
+    @property
+    def configuration(self) -> Configuration:
+        return Configuration(
+            'd',
+            services=(
+                Service(
+                    's',
+                    (),
+                    ShiftCap(self.cap_ppm, STEP_S),
+                    lookup_ttl_s=TTL_S,
+                ),
+            ),
+            regions=tuple(Region(name) for name in REGIONS),
+            zones=tuple(Zone(f'{name}1', name, 1) for name in REGIONS),
+            servers=tuple(
+                BackendServer(name, 's', f'{name}1', '', SLOTS, 9)
+                for name in REGIONS
+            ),
+            drained=self.drained,
+        )
+
+    def is_watcher(self, now: int) -> bool:
+        return True
+
+    def entries(self) -> tuple[EntryInstance, ...]:
+        return self.members
+
+    def subscribe(self, listener: object) -> None:
+        """The configuration is read when needed."""
+
+
+@define
+class FaultyPlatform:
+    """Keeps one plan; a mode says what happens to the next calls."""
+
+    world: World
+    mode: str = 'works'
+    stored: StoredObject | None = None
+    writes: list[tuple[int, Plan]] = Factory(list)
+    delayed: list[tuple[str, bytes, int]] = Factory(list)
+    listed: tuple[ListedInstance, ...] = tuple(
+        ListedInstance(region, f'{region}1', '', False) for region in REGIONS
+    )
+
+    async def get(self, name: str) -> StoredObject:
+        self._fail_if('down')
+        if self.stored is None:
+            raise PlatformError(ResultCode.OBJECT_MISSING, name)
+        return self.stored
+
+    async def put(self, name: str, content: bytes, expected: int) -> int:
+        self._fail_if('down')
+        if self.mode == 'slow':
+            self.delayed.append((name, content, expected))
+        else:
+            self._store(name, content, expected)
+        self._fail_if('slow')
+        self._fail_if('lost')
+        return self.stored.version
+
+    def land_delayed(self) -> None:
+        """Let a write take effect long after its caller gave up."""
+        try:
+            self._store(*self.delayed.pop(0))
+        except PlatformError as error:
+            assert error.code is ResultCode.VERSION_CONFLICT
+
+    async def list_instances(self) -> tuple[ListedInstance, ...]:
+        self._fail_if('down')
+        return self.listed
+
+    async def list_objects(self, prefix: str) -> Snapshot:
+        raise NotImplementedError
+
+    async def watch(self, prefix: str, after: int, wait: float) -> Snapshot:
+        raise NotImplementedError
+
+    async def delete(self, name: str, expected: int | None) -> None:
+        raise NotImplementedError
+
+    def _store(self, name: str, content: bytes, expected: int) -> None:
+        version = self.stored.version if self.stored else 0
+        if expected != version:
+            raise PlatformError(ResultCode.VERSION_CONFLICT, name)
+        self.stored = StoredObject(name, version + 1, content)
+        self.writes.append((self.world.now, decode_plan(content)))
+
+    def _fail_if(self, mode: str) -> None:
+        if self.mode == mode:
+            raise PlatformError(ResultCode.PLATFORM_UNREACHABLE, mode)
+
+
+class NoPeers:
+    """No links: nodes learn of plans by reading the platform late."""
+
+    def register(self, message_type: type, handler: object) -> None:
+        """Nothing is received."""
+
+    def connected(self) -> tuple[str, ...]:
+        return ()
+
+
+@define
+class Node:
+    """One proposer with its own clock and memory."""
+
+    world: World
+    platform: FaultyPlatform
+    offset: int
+    sequence: int = 0
+    book: LoadBook = Factory(LoadBook)
+    proposer: PlanProposer | None = None
+
+    def restart(self) -> None:
+        self.book = LoadBook()
+        exchange = PlanExchange(
+            PlanService(), NoPeers(), self.platform, self.world, self.clock
+        )
+        self.proposer = PlanProposer(
+            self.world, exchange, self.book, self.world
+        )
+
+    def clock(self) -> int:
+        return self.world.now + self.offset
+
+    def learn(self) -> None:
+        if self.platform.stored is not None:
+            self.proposer.exchange.adopt(self.platform.stored)
+
+    def propose(self, mode: str = 'works') -> None:
+        self.platform.mode = mode
+        drive(self.proposer.consider_all())
+        self.platform.mode = 'works'
+
+    def hear_load(self, region: str, in_flight: int, age_s: int = 0) -> None:
+        self.sequence += 1
+        row = (region, in_flight, SLOTS, 0)
+        record_loads(
+            self.book,
+            LoadReport(region, self.sequence, age_s * 1000, (row,)),
+            self.clock(),
+        )
+
+    def hear_demand(self, instance: str, requests: int) -> None:
+        self.sequence += 1
+        row = ('s', instance, requests * MICRO_TOKENS)
+        record_demand(
+            self.book,
+            DemandReport(instance, instance, self.sequence, (row,)),
+            self.clock(),
+        )
--- /dev/null
+++ b/tests/daemon/steering/test_racing_proposers.py
@@ -0,0 +1,279 @@
+"""Guards the cap and the regions' capacity under racing and faults."""
+
+import math
+from itertools import pairwise
+from types import ModuleType
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from tests.daemon.steering.simulation import (
+    CAP_PPM,
+    REGIONS,
+    SLOTS,
+    STEP_S,
+    TTL_S,
+    FaultyPlatform,
+    Node,
+    World,
+)
+
+from geraniumshelf_core.plan import steps
+from geraniumshelf_core.plan.model import Plan
+from geraniumshelf_core.units import (
+    MICRO_TOKENS,
+    PARTS_PER_MILLION,
+    SECOND_NS,
+)
+from geraniumshelf_daemon.steering import assessment, proposer
+
+_NODES = st.integers(0, 2)
+_REGION = st.sampled_from(REGIONS)
+_TICK_S = 0.5
+_USABLE = SLOTS * 0.85
+
+
+class SteeringMachine(RuleBasedStateMachine):
+    """Three proposers, one platform, and callers that cache answers."""
+
+    @initialize(demand=st.tuples(*[st.integers(1, 14)] * 3), drained=_REGION)
+    def start(self, demand, drained) -> None:
+        self.demand = dict(zip(REGIONS, demand, strict=True))
+        self.world = World()
+        self.platform = FaultyPlatform(self.world)
+        self.nodes = [
+            Node(self.world, self.platform, offset * SECOND_NS)
+            for offset in (0, 500, 70_000)
+        ]
+        # Revision in use and end of its time in the cache.
+        self.callers = [(0, 0.0)] * 8
+        for node in self.nodes:
+            node.restart()
+            self._hear_all(node)
+        self.nodes[0].propose()
+        self.world.drained = (drained,)
+
+    @rule(seconds=st.integers(1, 12), lag=st.integers(0, 3))
+    def pass_time(self, seconds: int, lag: int) -> None:
+        for _ in range(int(seconds / _TICK_S)):
+            self.world.now += int(_TICK_S * SECOND_NS)
+            self._refresh_callers(lag)
+        for node in self.nodes:
+            node.learn()
+
+    @rule(count=st.integers(1, 4), node=_NODES, lie=st.booleans())
+    def pass_quiet_steps(self, count: int, node: int, lie: bool) -> None:
+        for _ in range(count):
+            self.pass_time(STEP_S + 1, 1)
+            self._hear_all(self.nodes[node], lie)
+            self.nodes[node].propose()
+
+    @rule(
+        node=_NODES,
+        mode=st.sampled_from(['works', 'lost', 'slow', 'down']),
+        hears=st.booleans(),
+    )
+    def propose(self, node: int, mode: str, hears: bool) -> None:
+        if hears:
+            self._hear_all(self.nodes[node])
+        self.nodes[node].propose(mode)
+
+    @precondition(lambda self: self.platform.delayed)
+    @rule()
+    def land_delayed(self) -> None:
+        self.platform.land_delayed()
+
+    @rule(node=_NODES)
+    def restart(self, node: int) -> None:
+        self.nodes[node].restart()
+
+    @rule(
+        node=_NODES,
+        region=_REGION,
+        in_flight=st.integers(0, 40),
+        age_s=st.integers(0, 40),
+    )
+    def report_any_load(self, node, region, in_flight, age_s) -> None:
+        self.nodes[node].hear_load(region, in_flight, age_s)
+
+    @rule(node=_NODES, region=_REGION)
+    def report_demand(self, node: int, region: str) -> None:
+        self.nodes[node].hear_demand(region, self.demand[region])
+
+    @rule(drained=st.sets(_REGION, max_size=2))
+    def drain(self, drained: set[str]) -> None:
+        self.world.drained = tuple(sorted(drained))
+
+    @invariant()
+    def steps_keep_the_cap(self) -> None:
+        total = sum(self.demand.values())
+        for before, after in self._pairs():
+            moved = sum(
+                max(0, weight - before.weights_of(source).get(region, 0))
+                * requests
+                for source, requests in self.demand.items()
+                for region, weight in after.weights_of(source).items()
+            )
+            assert moved <= CAP_PPM * total
+
+    @invariant()
+    def steps_keep_their_distance(self) -> None:
+        times = [time for time, _ in self.platform.writes]
+        for earlier, later in pairwise(times):
+            assert later - earlier >= STEP_S * SECOND_NS
+
+    @invariant()
+    def callers_use_two_revisions_at_most(self) -> None:
+        revisions = [revision for revision, _ in self.callers if revision]
+        assert not revisions or max(revisions) - min(revisions) <= 1
+
+    @invariant()
+    def moves_overload_no_region(self) -> None:
+        for before, after in self._pairs():
+            old, new = self._loads(before), self._loads(after)
+            for region in REGIONS:
+                assert new[region] <= max(old[region], _USABLE) + 1e-4
+
+    def _pairs(self) -> list[tuple[Plan, Plan]]:
+        plans = [plan for _, plan in self.platform.writes]
+        return list(pairwise(plans))[-5:]
+
+    def _loads(self, plan: Plan) -> dict[str, float]:
+        return {
+            region: sum(
+                requests
+                * plan.weights_of(source).get(region, 0)
+                / PARTS_PER_MILLION
+                for source, requests in self.demand.items()
+            )
+            for region in REGIONS
+        }
+
+    def _refresh_callers(self, lag: int) -> None:
+        now = self.world.now
+        seen = [
+            plan.revision
+            for written, plan in self.platform.writes
+            if written <= now - lag * SECOND_NS
+        ]
+        for index, (revision, end) in enumerate(self.callers):
+            if end <= now and seen:
+                latest = max(revision, seen[-1])
+                self.callers[index] = (latest, now + TTL_S * SECOND_NS)
+
+    def _hear_all(self, node: Node, lie: bool = False) -> None:
+        for region in REGIONS:
+            node.hear_load(region, 0 if lie else self.demand[region])
+            node.hear_demand(region, self.demand[region])
+
+
+_SETTINGS = settings(
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestSteering = SteeringMachine.TestCase
+TestSteering.settings = _SETTINGS
+
+
+@pytest.mark.parametrize(
+    ('module', 'name', 'broken'),
+    [
+        (proposer, 'may_propose', lambda seen, step, now: True),
+        (assessment, 'planned_loads', lambda plan, demand: {}),
+        (steps, '_start_budget', None),
+    ],
+)
+def test_checker_finds_deliberate_faults(
+    monkeypatch: pytest.MonkeyPatch, module: ModuleType, name: str, broken
+) -> None:
+    """A checker that passes a broken proposer would guard nothing."""
+    monkeypatch.setattr(module, name, broken or _doubled_budget)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(
+            SteeringMachine,
+            settings=settings(
+                _SETTINGS,
+                phases=[Phase.generate],
+                database=None,
+                max_examples=300,
+            ),
+        )
+
+
+@settings(max_examples=20)
+@given(
+    demand=st.tuples(*[st.integers(1, 9)] * 3),
+    cap_ppm=st.integers(30_000, 300_000),
+)
+def test_drain_takes_little_more_than_the_cap_allows(
+    demand: tuple[int, int, int], cap_ppm: int
+) -> None:
+    """A slow drain keeps operators from stopping a region's servers."""
+    world = World(cap_ppm=cap_ppm)
+    platform = FaultyPlatform(world)
+    nodes = [Node(world, platform, offset) for offset in (0, 5, 7)]
+    for node in nodes:
+        node.restart()
+    steps_needed = math.ceil(demand[0] / sum(demand) * 1e6 / cap_ppm)
+    best_s = steps_needed * STEP_S
+    elapsed_s = 0
+    while not platform.writes or 'a' in _used(platform):
+        if elapsed_s == STEP_S:
+            world.drained = ('a',)
+        for node in nodes:
+            for region, requests in zip(REGIONS, demand, strict=True):
+                node.hear_demand(region, requests)
+                node.hear_load(region, requests if platform.writes else 0)
+            node.learn()
+            node.propose()
+        world.now += SECOND_NS
+        elapsed_s += 1
+        assert elapsed_s - STEP_S <= 1.2 * best_s
+    assert platform.writes[-1][1].revision <= steps_needed + 2
+
+
+def _used(platform: FaultyPlatform) -> set[str]:
+    plan = platform.writes[-1][1]
+    return {region for source in REGIONS for region in plan.weights_of(source)}
+
+
+_true_budget = steps._start_budget
+
+
+def _doubled_budget(current, situation):
+    budget = _true_budget(current, situation)
+    budget.source_ppm *= 2
+    if budget.service is not None:
+        budget.service *= 2
+    return budget
+
+
+def test_world_can_move_at_all() -> None:
+    """Without moves the invariants above would hold for nothing."""
+    world = World()
+    platform = FaultyPlatform(world)
+    node = Node(world, platform, 0)
+    node.restart()
+    world.drained = ()
+    for _ in range(3):
+        for region in REGIONS:
+            node.hear_load(region, 3)
+            node.hear_demand(region, 3)
+        node.propose('lost')
+        world.now += STEP_S * SECOND_NS
+        world.drained = ('a',)
+        node.propose()
+    assert [plan.revision for _, plan in platform.writes] == [1, 2, 3]
+    moved = platform.writes[1][1].weights_of('a')['b']
+    assert moved * 3 * MICRO_TOKENS <= CAP_PPM * 9 * MICRO_TOKENS
+    assert moved > CAP_PPM * 2
