--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -25,7 +25,6 @@
     LoadReport,
     PlanAnnounce,
     PlanContents,
-    PlanRequest,
 )
 
 # A number is never given to another message; receivers refuse unknown ones.
@@ -45,8 +44,7 @@
     34: HandoverAccepted,
     35: DeciderMoved,
     40: PlanAnnounce,
-    41: PlanRequest,
+    41: LoadReport,
     42: PlanContents,
-    43: LoadReport,
-    44: DemandReport,
+    43: DemandReport,
 }
