--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Spill to other regions within the plan's failover allowances."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/__init__.py
@@ -0,0 +1,1 @@
+"""Small adapters between the parts of the daemon."""
