--- a/packages/core/src/geraniumshelf_core/membership/commands.py
+++ b/packages/core/src/geraniumshelf_core/membership/commands.py
@@ -1,6 +1,6 @@
 """Functions that modify what a daemon knows of the members."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from geraniumshelf_core.membership.queries import contact_age_ms
 from geraniumshelf_core.membership.state import (
@@ -88,12 +88,18 @@
     return replace_listed(state, members, now - message.age_ms * MILLISECOND_NS)
 
 
-def forget_silent(state: MembershipState, now: Nanoseconds) -> None:
-    """Forget peers that are silent for longer than the limit."""
+def forget_silent(
+    state: MembershipState, linked: Collection[str], now: Nanoseconds
+) -> None:
+    """Forget peers that are silent for longer than the limit.
+
+    Linked peers are kept: after a pause of this daemon their heartbeats have
+    not been read yet, and a heartbeat of an unknown peer is ignored.
+    """
     state.heard = {
         name: peer
         for name, peer in state.heard.items()
-        if now - peer.heard_at <= SILENCE_LIMIT
+        if name in linked or now - peer.heard_at <= SILENCE_LIMIT
     }
 
 
--- a/packages/core/src/geraniumshelf_core/membership/queries.py
+++ b/packages/core/src/geraniumshelf_core/membership/queries.py
@@ -9,6 +9,7 @@
     MembershipState,
 )
 from geraniumshelf_core.membership.topology import (
+    is_full_mesh,
     linked_instances,
     zone_order,
 )
@@ -81,10 +82,14 @@
 def zone_watchers(state: MembershipState, now: Nanoseconds) -> tuple[str, ...]:
     """Return the two best-ranked live daemons of the own zone.
 
-    Listed daemons that this one has no link to are presumed live.
+    Listed daemons that this one does not link to are presumed live. So are
+    all while the own links come up after the start; otherwise each daemon of
+    a starting zone would call the platform as a watcher.
     """
     zones = known_zones(state, now)
     targets = linked_instances(state.own.instance, zones)
+    if _is_starting(state, now):
+        targets = frozenset(state.heard)
     candidates = [
         name
         for name in zone_order(state.own.zone, zones)
@@ -93,6 +98,26 @@
     return tuple(candidates[:WATCHERS_PER_ZONE])
 
 
+def peers_behind(
+    state: MembershipState, revision: int, now: Nanoseconds
+) -> tuple[str, ...]:
+    """Return the live peers to push a revision to.
+
+    In a full mesh a watcher pushes to its zone and nobody else pushes. In a
+    tree each daemon pushes along all its links.
+    """
+    is_mesh = is_full_mesh(known_zones(state, now))
+    own = state.own.instance
+    if is_mesh and own not in zone_watchers(state, now):
+        return ()
+    return tuple(
+        name
+        for name, peer in state.heard.items()
+        if _is_behind(peer, revision)
+        and not (is_mesh and peer.hello.zone != state.own.zone)
+    )
+
+
 def is_cut_off(state: MembershipState, now: Nanoseconds) -> bool:
     """Tell whether no withdrawal can reach the zone."""
     if state.contact_at is None:
@@ -135,6 +160,10 @@
     )
 
 
+def _is_behind(peer: HeardPeer, revision: int) -> bool:
+    return peer.heartbeat is None or peer.heartbeat.revision < revision
+
+
 def _is_live(peer: HeardPeer, now: Nanoseconds) -> bool:
     return now - peer.heard_at <= SILENCE_LIMIT
 
@@ -144,6 +173,12 @@
     return listed is not None and listed.is_leaving
 
 
+def _is_starting(state: MembershipState, now: Nanoseconds) -> bool:
+    if state.started_at is None:
+        return False
+    return now - state.started_at <= SILENCE_LIMIT
+
+
 def _address(state: MembershipState, name: str) -> str:
     peer = state.heard.get(name)
     if peer is None:
--- a/packages/core/src/geraniumshelf_core/membership/state.py
+++ b/packages/core/src/geraniumshelf_core/membership/state.py
@@ -90,6 +90,7 @@
         heard: Peers by name.
         contact_at: When this daemon, or one of its zone, last had contact
             with the platform or another zone.
+        started_at: When this daemon started; its links come up for a while.
     """
 
     own: Hello
@@ -98,3 +99,4 @@
     listed_at: Nanoseconds | None = None
     heard: dict[str, HeardPeer] = Factory(dict)
     contact_at: Nanoseconds | None = None
+    started_at: Nanoseconds | None = None
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps track of members and tells peers about this daemon."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/members.py
@@ -0,0 +1,78 @@
+"""The members as this daemon sees them."""
+
+from collections.abc import Callable
+
+from geraniumshelf_core.membership import commands, queries
+from geraniumshelf_core.membership.state import (
+    Member,
+    MembershipState,
+    OwnStatus,
+)
+from geraniumshelf_core.messages.membership import Heartbeat, Hello
+from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.clock import current_time
+
+
+class Members:
+    """Answers who is live and writes the own heartbeat."""
+
+    def __init__(self, own: Hello, revision: Callable[[], int]) -> None:
+        """Start with this daemon as the only member.
+
+        Args:
+            own: Introduction of this daemon.
+            revision: Returns the own configuration revision, 0 for none.
+        """
+        self.state = MembershipState(own, started_at=current_time())
+        self._revision = revision
+        self._listeners: list[Callable[[str, Heartbeat], None]] = []
+
+    @property
+    def status(self) -> OwnStatus:
+        """Return slot, window and leaving of this daemon, to be set."""
+        return self.state.status
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the next heartbeat to send."""
+        return commands.next_heartbeat(
+            self.state, self._revision(), current_time()
+        )
+
+    def subscribe(self, listener: Callable[[str, Heartbeat], None]) -> None:
+        """Call a listener with each heartbeat and the sender's name."""
+        self._listeners.append(listener)
+
+    def take_heartbeat(
+        self, peer: str, heartbeat: Heartbeat, now: Nanoseconds
+    ) -> None:
+        """Take in a heartbeat of a linked peer."""
+        if commands.note_heartbeat(self.state, peer, heartbeat, now):
+            for listener in self._listeners:
+                listener(peer, heartbeat)
+
+    def note_contact(self, at: Nanoseconds) -> None:
+        """Take in that the platform was reached at a time."""
+        commands.note_contact(self.state, at)
+
+    def live(self, now: Nanoseconds) -> tuple[Member, ...]:
+        """Return this daemon and all live peers, by name."""
+        return queries.live_members(self.state, self._revision(), now)
+
+    def slot_holders(self, now: Nanoseconds) -> dict[str, str]:
+        """Return the instance that holds each live slot."""
+        return queries.slot_holders(self.live(now))
+
+    def confirmed_revisions(self, now: Nanoseconds) -> dict[str, int]:
+        """Return the revision in force of each live member."""
+        return {
+            member.hello.instance: member.revision for member in self.live(now)
+        }
+
+    def is_cut_off(self, now: Nanoseconds) -> bool:
+        """Tell whether no withdrawal can reach the zone."""
+        return queries.is_cut_off(self.state, now)
+
+    def is_watcher(self, now: Nanoseconds) -> bool:
+        """Tell whether this daemon watches the platform for its zone."""
+        watchers = queries.zone_watchers(self.state, now)
+        return self.state.own.instance in watchers
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/service.py
@@ -0,0 +1,132 @@
+"""Follows members over links and the platform's instance list."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any, Final
+
+from geraniumshelf_core.errors import PlatformError, ResultCode
+from geraniumshelf_core.membership import commands, queries
+from geraniumshelf_core.membership.state import ListedMember
+from geraniumshelf_core.messages.membership import Heartbeat, Hello, MemberList
+from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.clock import current_time
+from geraniumshelf_daemon.membership.members import Members
+from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.peers.links import PeerLinks
+from geraniumshelf_daemon.platform.interface import Platform
+
+POLL_INTERVAL_S: Final = 5.0
+
+_STEP_S: Final = 0.5
+
+
+class MembershipService:
+    """Keeps members up to date and chooses whom to link to.
+
+    Every daemon reads the instance list once at start; after that only the
+    watchers of a zone poll it, and peers pass on a list that changed.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        links: PeerLinks,
+        platform: Platform,
+        *,
+        seeds: Iterable[str] = (),
+    ) -> None:
+        """Prepare to follow members.
+
+        Args:
+            members: Members to keep up to date.
+            links: Links to direct.
+            platform: Source of the instance list.
+            seeds: Peer addresses to dial while no instance list is known.
+        """
+        self._members = members
+        self._state = members.state
+        self._links = links
+        self._platform = platform
+        self._seeds = frozenset(seeds)
+        self._tasks: tuple[asyncio.Task[None], ...] = ()
+        self._was_cut_off = True
+        links.subscribe(self._on_link)
+        links.register(Heartbeat, self._on_heartbeat)
+        links.register(MemberList, self._on_member_list)
+
+    def start(self) -> None:
+        """Start following members."""
+        self._tasks = (
+            asyncio.create_task(self._keep()),
+            asyncio.create_task(self._poll()),
+        )
+
+    async def stop(self) -> None:
+        """Stop following; links stay."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _keep(self) -> None:
+        while True:
+            now = current_time()
+            commands.forget_silent(self._state, self._links.connected(), now)
+            self._direct_links(now)
+            self._log_cut_off(now)
+            await asyncio.sleep(_STEP_S)
+
+    async def _poll(self) -> None:
+        await self._read_list()
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            if self._members.is_watcher(current_time()):
+                await self._read_list()
+
+    async def _read_list(self) -> None:
+        now = current_time()
+        try:
+            listed = await self._platform.list_instances()
+        except PlatformError as error:
+            if error.code is not ResultCode.PLATFORM_UNREACHABLE:
+                log_event(Event.TASK_FAILED, error.detail)
+            return
+        self._members.note_contact(now)
+        members = [
+            ListedMember(one.name, one.zone, one.peer_address, one.is_leaving)
+            for one in listed
+        ]
+        if commands.replace_listed(self._state, members, now):
+            self._direct_links(now)
+            self._tell_members('')
+
+    def _direct_links(self, now: Nanoseconds) -> None:
+        targets = set(queries.link_targets(self._state, now).values())
+        if not self._state.listed:
+            targets |= self._seeds
+        self._links.set_targets(targets)
+
+    def _on_link(self, hello: Hello) -> None:
+        now = current_time()
+        commands.note_link(self._state, hello, now)
+        message = queries.member_list(self._state, now)
+        if message is not None:
+            self._links.notify(hello.instance, message)
+
+    async def _on_heartbeat(self, peer: str, message: Heartbeat) -> Any:
+        self._members.take_heartbeat(peer, message, current_time())
+
+    async def _on_member_list(self, peer: str, message: MemberList) -> Any:
+        if commands.note_member_list(self._state, message, current_time()):
+            self._tell_members(peer)
+
+    def _tell_members(self, source: str) -> None:
+        message = queries.member_list(self._state, current_time())
+        for peer in self._links.connected():
+            if peer != source:
+                self._links.notify(peer, message)
+
+    def _log_cut_off(self, now: Nanoseconds) -> None:
+        is_cut_off = self._members.is_cut_off(now)
+        if is_cut_off != self._was_cut_off:
+            self._was_cut_off = is_cut_off
+            log_event(Event.ZONE_CUT_OFF if is_cut_off else Event.ZONE_REJOINED)
--- a/tests/core/membership/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -5,6 +5,7 @@
 
 from geraniumshelf_core.codec import Frame, encode_frame
 from geraniumshelf_core.membership.commands import (
+    forget_silent,
     next_heartbeat,
     note_contact,
     note_heartbeat,
@@ -43,6 +44,17 @@
     live = live_members(state, 0, 4 * SECOND_NS)
     assert slot_holders(live) == {'a/1': 'peer'}
     assert len(live_members(state, 0, 4 * SECOND_NS + 1)) == 1
+    forget_silent(state, (), 4 * SECOND_NS + 1)
+    assert not state.heard
+
+
+def test_linked_peers_come_back_after_a_pause() -> None:
+    """A daemon that was paused must hear the heartbeats it has not read."""
+    state = MembershipState(_hello('own'))
+    note_link(state, _hello('peer'), 0)
+    forget_silent(state, ('peer',), 9 * SECOND_NS)
+    assert note_heartbeat(state, 'peer', _beat(1), 9 * SECOND_NS)
+    assert len(live_members(state, 0, 9 * SECOND_NS)) == 2
 
 
 def test_replaced_incarnation_is_a_new_peer() -> None:
--- a/tests/daemon/peers/test_links.py
+++ b/tests/daemon/peers/test_links.py
@@ -70,7 +70,12 @@
     stack: AsyncExitStack, node: _Node, hello: Hello
 ) -> ClientConnection:
     connection = await stack.enter_async_context(
-        connect(f'ws://{node.address}', compression=None, proxy=None)
+        connect(
+            f'ws://{node.address}',
+            compression=None,
+            proxy=None,
+            close_timeout=0.1,
+        )
     )
     await connection.send(encode_frame(Frame(1, 0, hello)))
     return connection
@@ -97,7 +102,7 @@
             one.links.set_targets([two.address])
             two.links.set_targets([one.address])
             for node, peer in ((one, 'two'), (two, 'one')):
-                await _until(lambda: bool(node.links.connected()))  # noqa: B023
+                await _until(lambda links=node.links: bool(links.connected()))
                 answer = await node.links.request(peer, _ASK, 5 * SECOND_NS)
                 assert answer == ConfigurationParts(b'd', ())
             one.links.set_targets([])
