Add the allowance core: buckets, floors, loans and slot claims

Limits of client accounts must hold across the fleet under any fault. Floors split a total exactly, loans move rate, capacity and tokens for a term, and a stateful test compares what callers could get at each moment with rate * T + burst.

--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/allowance/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that no set of daemons may exceed: floors, buckets and loans."""
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/allowance/floors.py
@@ -0,0 +1,87 @@
+"""Floors: the share of a limit that each declared slot is guaranteed."""
+
+from collections.abc import Iterable, Mapping
+
+from attrs import frozen
+
+from geraniumshelf_core.configuration.model import Configuration
+from geraniumshelf_core.units import MICRO_TOKENS
+
+# All declared slots in a fixed order, ``zone/number``.
+Layout = tuple[str, ...]
+
+
+@frozen
+class Floor:
+    """A share of a limit.
+
+    Attributes:
+        rate: Micro-tokens a second.
+        capacity: Micro-tokens.
+    """
+
+    rate: int = 0
+    capacity: int = 0
+
+
+def slot_layout(configuration: Configuration) -> Layout:
+    """Return all declared slots, by zone name and number."""
+    zones = sorted(configuration.zones, key=lambda zone: zone.name)
+    return tuple(
+        f'{zone.name}/{number}'
+        for zone in zones
+        for number in range(zone.slots)
+    )
+
+
+def split_total(total: int, parts: int, index: int) -> int:
+    """Return one part of an integer split whose parts sum to the total.
+
+    >>> [split_total(5, 3, index) for index in range(3)]
+    [2, 2, 1]
+    """
+    quotient, rest = divmod(total, parts)
+    return quotient + (index < rest)
+
+
+def slot_floor(
+    rate_per_s: int, burst: int, slot: str, layouts: Iterable[Layout]
+) -> Floor:
+    """Return the least floor of a slot over layouts that may be in force.
+
+    The totals are those of the newest revision known here: the sum over all
+    slots is then at most the largest total that any holder has in force,
+    because each holder stays within its share of one common layout.
+    """
+    rates = []
+    capacities = []
+    for layout in layouts:
+        if slot not in layout:
+            return Floor()
+        index = layout.index(slot)
+        parts = len(layout)
+        rates.append(split_total(rate_per_s * MICRO_TOKENS, parts, index))
+        capacities.append(split_total(burst * MICRO_TOKENS, parts, index))
+    return Floor(min(rates, default=0), min(capacities, default=0))
+
+
+def layouts_in_force(
+    known: Mapping[int, Layout], confirmed: Mapping[str, int], revision: int
+) -> tuple[Layout, ...]:
+    """Return the layouts that some slot holder may still have in force.
+
+    Args:
+        known: Layout per revision that was in force here.
+        confirmed: Last confirmed revision per slot ever seen.
+        revision: Newest revision here.
+
+    Returns:
+        The layouts; none if a holder may have one that is not known here,
+        and then no floor may be used.
+    """
+    oldest = min(confirmed.values(), default=revision)
+    start = max((past for past in known if past <= oldest), default=None)
+    if start is None:
+        return ()
+    layouts = (layout for past, layout in known.items() if past >= start)
+    return tuple(dict.fromkeys(layouts))
--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -2,6 +2,14 @@
 
 from typing import Final
 
+from geraniumshelf_core.messages.allowance import (
+    LoanGrant,
+    LoanRequest,
+    LoanReturn,
+    TokenGrant,
+    TokenRequest,
+    TokenSettled,
+)
 from geraniumshelf_core.messages.configuration import (
     ConfigurationParts,
     ConfigurationRequest,
@@ -17,4 +25,10 @@
     3: Failure,
     10: ConfigurationRequest,
     11: ConfigurationParts,
+    20: LoanRequest,
+    21: LoanGrant,
+    22: LoanReturn,
+    23: TokenRequest,
+    24: TokenGrant,
+    25: TokenSettled,
 }
--- /dev/null
+++ b/tests/core/allowance/world.py
@@ -0,0 +1,290 @@
+"""Several daemons on drifting clocks with the real books, in true time."""
+
+import copy
+from collections.abc import Callable
+from typing import Any
+
+from attrs import Factory, define, evolve
+
+from geraniumshelf_core.allowance import commands
+from geraniumshelf_core.allowance.floors import (
+    Floor,
+    Layout,
+    layouts_in_force,
+    slot_floor,
+)
+from geraniumshelf_core.allowance.state import (
+    FLOOR_TERM,
+    QUARANTINE,
+    TOKEN_TERM,
+    Book,
+    Limit,
+    Loan,
+)
+from geraniumshelf_core.units import MICRO_TOKENS, SECOND_NS
+
+ACCOUNT = 'vendor'
+# A lowered total lets loans of the former one run out.
+OUTSTANDING_NS = 5 * SECOND_NS
+
+
+@define
+class Revision:
+    """Totals of the limit and the declared slots."""
+
+    rate: int
+    burst: int
+    layout: Layout
+
+
+@define
+class Node:
+    """A daemon with its book and its view of the others."""
+
+    name: str
+    slots: tuple[str, ...]
+    drift_ppm: int
+    book: Book
+    usable_at: int = 0
+    known: dict[int, Layout] = Factory(dict)
+    revision: int = 0
+    confirmed: dict[str, int] = Factory(dict)
+    asked: dict[int, int] = Factory(dict)
+    settled: list[tuple[str, int]] = Factory(list)
+
+    @property
+    def limit(self) -> Limit:
+        return self.book.limits[ACCOUNT]
+
+
+class World:
+    """The daemons, the messages on the way and the record of admissions."""
+
+    def __init__(
+        self, drifts: list[int], first: Revision, holders: list[str]
+    ) -> None:
+        self.now = 10**12
+        self.counter = 0
+        self.borrower_counts_from_receipt = False
+        self.revisions = [Revision(0, 0, ()), first]
+        self.mail: list[Callable[[], None]] = []
+        self.admitted: list[tuple[int, int]] = []
+        self.periods: list[list[int]] = []
+        self.nodes: list[Node] = []
+        for number, drift in enumerate(drifts):
+            slots = tuple(
+                slot
+                for slot, holder in zip(first.layout, holders, strict=True)
+                if holder == f'n{number}'
+            )
+            node = Node(f'n{number}', slots, drift, Book(0))
+            self.nodes.append(node)
+            self.restart(node)
+        for node in self.nodes:
+            for other in self.nodes:
+                self.hear(node, other)
+        self.advance(QUARANTINE * 2)
+
+    def clock(self, node: Node) -> int:
+        return self.now + self.now * node.drift_ppm // 10**6
+
+    def advance(self, nanoseconds: int) -> None:
+        self.now += nanoseconds
+
+    def restart(self, node: Node) -> None:
+        """Lose all state; the slots are taken over with quarantine."""
+        self.counter += 1000
+        self.close(node)
+        node.book = Book(self.counter)
+        node.book.limit(ACCOUNT, self.clock(node))
+        node.usable_at = self.clock(node) + QUARANTINE
+        node.known.clear()
+        node.asked.clear()
+        node.settled.clear()
+        node.confirmed = dict.fromkeys(
+            (slot for each in self.nodes for slot in each.slots), 0
+        )
+        node.revision = 0
+        self.adopt(node, len(self.revisions) - 1)
+
+    def adopt(self, node: Node, revision: int) -> None:
+        if revision <= node.revision:
+            return
+        self.close(node)
+        self.periods.append([revision, self.now, -1, int(node.name[1:])])
+        node.revision = revision
+        node.known[revision] = self.revisions[revision].layout
+        self.hear(node, node)
+
+    def close(self, node: Node) -> None:
+        for period in self.periods:
+            if period[2] < 0 and period[3] == int(node.name[1:]):
+                period[2] = self.now
+
+    def hear(self, node: Node, other: Node) -> None:
+        """Receive a heartbeat that confirms a revision."""
+        for slot in other.slots:
+            node.confirmed[slot] = max(
+                node.confirmed.get(slot, 0), other.revision
+            )
+        self.refresh(node)
+
+    def refresh(self, node: Node) -> None:
+        totals = self.revisions[node.revision]
+        layouts = layouts_in_force(node.known, node.confirmed, node.revision)
+        floor = Floor()
+        if self.clock(node) >= node.usable_at:
+            floors = [
+                slot_floor(totals.rate, totals.burst, slot, layouts)
+                for slot in node.slots
+            ]
+            floor = Floor(
+                sum(each.rate for each in floors),
+                sum(each.capacity for each in floors),
+            )
+        commands.set_floor(node.limit, floor, self.clock(node))
+
+    def admit(self, node: Node, attempts: int) -> None:
+        self.refresh(node)
+        for _ in range(attempts):
+            taken = commands.take(node.limit, self.clock(node))
+            if taken is False:
+                return
+            self.admitted.append((self.now, 1))
+            if isinstance(taken, Loan):
+                node.settled.append((taken.peer, taken.loan_id))
+
+    def ask(self, node: Node, lender: Node, tokens: int) -> None:
+        """Ask for tokens, or with 0 for the floor and for renewals."""
+        self.counter += 1
+        request, asked_at = self.counter, self.clock(node)
+        node.asked[request] = asked_at
+        held = [
+            loan.loan_id
+            for loan in node.limit.borrowed
+            if loan.peer == lender.name and not loan.is_token
+        ]
+        self.mail.append(
+            lambda: self._answer(node, lender, request, held, tokens)
+        )
+
+    def _answer(
+        self,
+        node: Node,
+        lender: Node,
+        request: int,
+        held: list[int],
+        tokens: int,
+    ) -> None:
+        self.refresh(lender)
+        now = self.clock(lender)
+        if tokens:
+            grant = commands.lend_tokens(
+                lender.book, ACCOUNT, node.name, tokens, now
+            )
+            renewed: list[Any] = []
+        else:
+            renewed = [
+                commands.renew(lender.limit, loan_id, node.name, now)
+                for loan_id in held
+            ]
+            grant = commands.lend_floor(lender.book, ACCOUNT, node.name, now)
+        self.mail.append(
+            lambda: self._receive(node, lender, request, renewed, grant)
+        )
+
+    def _receive(
+        self,
+        node: Node,
+        lender: Node,
+        request: int,
+        renewed: list[Any],
+        grant: Any,
+    ) -> None:
+        asked_at = node.asked.pop(request, None)
+        if asked_at is None:
+            return
+        now = self.clock(node)
+        if self.borrower_counts_from_receipt:
+            asked_at = now
+        for loan in filter(None, renewed):
+            commands.accept_renewal(
+                node.limit,
+                evolve(loan, peer=lender.name, ends_at=asked_at + FLOOR_TERM),
+                now,
+            )
+        if grant is not None:
+            term = TOKEN_TERM if grant.loan.is_token else FLOOR_TERM
+            loan = evolve(grant.loan, peer=lender.name, ends_at=asked_at + term)
+            commands.accept(node.limit, loan, grant.tokens, now)
+
+    def give_back(self, node: Node) -> None:
+        for loan in list(node.limit.borrowed):
+            tokens = commands.give_back(node.limit, loan, self.clock(node))
+            if tokens is not None:
+                self._post_return(node, loan, tokens)
+
+    def _post_return(self, node: Node, loan: Loan, tokens: int) -> None:
+        lender = self.nodes[int(loan.peer[1:])]
+        self.mail.append(
+            lambda: commands.take_back(
+                lender.limit,
+                node.name,
+                loan.loan_id,
+                tokens,
+                self.clock(lender),
+            )
+        )
+
+    def settle(self, node: Node) -> None:
+        for peer, loan_id in node.settled:
+            self._post_settlement(node, self.nodes[int(peer[1:])], loan_id)
+        node.settled.clear()
+
+    def _post_settlement(self, node: Node, lender: Node, loan_id: int) -> None:
+        self.mail.append(
+            lambda: commands.settle(
+                lender.limit,
+                node.name,
+                loan_id,
+                MICRO_TOKENS,
+                self.clock(lender),
+            )
+        )
+
+    def probe(self) -> None:
+        """Check what callers could get who ask everywhere at this moment."""
+        books = [copy.deepcopy(node.book) for node in self.nodes]
+        settled = [list(node.settled) for node in self.nodes]
+        count = len(self.admitted)
+        for node in self.nodes:
+            self.admit(node, 1000)
+        try:
+            self.check()
+        finally:
+            del self.admitted[count:]
+            for number, node in enumerate(self.nodes):
+                node.book = books[number]
+                node.settled = settled[number]
+
+    def check(self) -> None:
+        """Compare the admissions up to now with rate * T + burst.
+
+        Intervals that end earlier were checked when they ended.
+        """
+        starts: dict[int, int] = {}
+        for index, (start, _) in enumerate(self.admitted):
+            starts.setdefault(start, index)
+        for start, index in starts.items():
+            count = len(self.admitted) - index
+            rate, burst = self._limits(start - OUTSTANDING_NS, self.now)
+            bound = rate * (self.now - start) + burst * SECOND_NS
+            assert count * SECOND_NS <= bound, (start, self.now, count)
+
+    def _limits(self, start: int, end: int) -> tuple[int, int]:
+        live = [
+            self.revisions[revision]
+            for revision, since, until, _ in self.periods
+            if since <= end and (until < 0 or until >= start)
+        ]
+        return max(each.rate for each in live), max(each.burst for each in live)
