--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -288,7 +288,9 @@
         )
 
     def _timeline_rows(self) -> dict[str, Any]:
-        return {'events': [event_to_json(one) for one in self._timeline.events()]}
+        return {
+            'events': [event_to_json(one) for one in self._timeline.events()]
+        }
 
 
 async def _supervise(run: Callable[[], Awaitable[None]]) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
@@ -84,9 +84,7 @@
         )
 
 
-def copy_loads(
-    book: LoadBook, state: DispatchState, now: Nanoseconds
-) -> None:
+def copy_loads(book: LoadBook, state: DispatchState, now: Nanoseconds) -> None:
     """Take reported loads over into the choice of backend servers.
 
     Args:
