--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -7,6 +7,7 @@
 from secrets import randbits
 from typing import Any, Final
 
+from geraniumshelf_core.allowance.claims import Claim
 from geraniumshelf_core.configuration.model import Configuration
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.idempotency.request_id import current_window
@@ -169,7 +170,11 @@
 
     def _build_limits(self) -> None:
         self._claims = SlotClaims(
-            self._hello, self._platform, self._holder, current_time
+            self._hello.zone,
+            _own_claim(self._hello),
+            current_time,
+            self._platform,
+            self._holder,
         )
         self._allowances = AllowanceService(
             self._hello.instance,
@@ -317,3 +322,7 @@
 def _listener(settings: Settings) -> socket.socket:
     address = settings.peer_address
     return socket.create_server((address.host, address.port))
+
+
+def _own_claim(hello: Hello) -> Claim:
+    return Claim(hello.instance, hello.peer_address, hello.incarnation, epoch=0)
--- a/packages/daemon/src/geraniumshelf_daemon/front/interface.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/interface.py
@@ -2,23 +2,9 @@
 
 from typing import Protocol
 
-from attrs import frozen
-
 from geraniumshelf_core.configuration.model import Key
 from geraniumshelf_core.units import Nanoseconds
-
-
-@frozen
-class LookupAnswer:
-    """An answer to a look-up.
-
-    Attributes:
-        body: JSON, ready to be sent.
-        ttl_s: Time that the caller may cache it, seconds.
-    """
-
-    body: bytes
-    ttl_s: int
+from geraniumshelf_daemon.lookups.interface import LookupAnswer
 
 
 class LookupSource(Protocol):
--- a/packages/standins/src/geraniumshelf_standins/fleet/fleet.py
+++ b/packages/standins/src/geraniumshelf_standins/fleet/fleet.py
@@ -84,7 +84,7 @@
             {
                 'zone': place.zone,
                 'peer_address': place.peer_address,
-                'leaving': is_leaving,
+                'is_leaving': is_leaving,
             },
         )
 
--- a/tests/daemon/front/harness.py
+++ b/tests/daemon/front/harness.py
@@ -32,9 +32,9 @@
 from geraniumshelf_daemon.front.admission import Gate
 from geraniumshelf_daemon.front.forwarding import Forwarder
 from geraniumshelf_daemon.front.front import Front
-from geraniumshelf_daemon.front.interface import LookupAnswer
 from geraniumshelf_daemon.front.pipeline import Pipeline, Sources
 from geraniumshelf_daemon.idempotency.decider import RunDecider
+from geraniumshelf_daemon.lookups.interface import LookupAnswer
 from geraniumshelf_daemon.upstream.dispatcher import Dispatcher
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 from geraniumshelf_standins.backend.server import BackendServer
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -45,9 +45,16 @@
 
 async def run_load(fleet: Fleet, started: float) -> bool:
     """Send reads, sales and an upload while a key and a daemon go."""
-    account = fleet.deployment.configuration.accounts[0].name
+    accounts = sorted(
+        fleet.deployment.configuration.accounts,
+        key=lambda account: -account.rate_per_s,
+    )
     guest_key = (
-        (await fleet.operate('key', 'add', account, WITHDRAWN_LABEL, '--json'))
+        (
+            await fleet.operate(
+                'key', 'add', accounts[0].name, WITHDRAWN_LABEL, '--json'
+            )
+        )
         .split('"key": "')[1]
         .split('"')[0]
     )
@@ -124,9 +131,10 @@
     """Print what happened and check it against the backends' records."""
     records = []
     for server in fleet.deployment.configuration.servers:
-        records += await fetch_json(f'http://{server.address}/-/records') or []
+        found = await fetch_json(f'http://{server.address}/-/records')
+        records += found['records']
     runs = Counter(
-        record['id'] for record in records if record['method'] == 'POST'
+        record['request_id'] for record in records if record['method'] == 'POST'
     )
     for stream in ('read', 'sale', 'calendar', 'guest'):
         print_stream(stream, workload.outcomes(stream))
