Back off from rejected links and count platform calls by caller

A peer that holds a preferred link closes a new one at once; the dialer took that for a success and dialed again without back-off. Cancelled platform calls wrote a stack trace at each planned stop.

--- a/packages/daemon/src/geraniumshelf_daemon/peers/links.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/links.py
@@ -176,4 +176,6 @@
             await link.run()
         finally:
             self._table.discard(link)
-        return True
+        # A peer that holds a preferred link closes at once; dialing it again
+        # without back-off would go on until that link is found silent.
+        return connection.close_code != _CLOSE_DUPLICATE
--- a/packages/daemon/src/geraniumshelf_daemon/platform/http.py
+++ b/packages/daemon/src/geraniumshelf_daemon/platform/http.py
@@ -1,5 +1,6 @@
 """The platform over HTTP."""
 
+import asyncio
 from typing import Any, Final
 from urllib.parse import quote, urlencode
 
@@ -132,8 +133,12 @@
             request_timeout=timeout_s,
             follow_redirects=False,
         )
+        fetched = self._client.fetch(request, raise_error=False)
+        # Tornado logs the error of a cancelled call as a fault of the program,
+        # so a call whose caller goes away ends on its own.
+        fetched.add_done_callback(_discard_error)
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await asyncio.shield(fetched)
         except (HTTPClientError, HTTPInputError, OSError) as error:
             raise PlatformError(
                 ResultCode.PLATFORM_UNREACHABLE, f'{method} {path}: {error}'
@@ -154,6 +159,11 @@
         return await super().connect(*args, **options)
 
 
+def _discard_error(fetched: asyncio.Future[HTTPResponse]) -> None:
+    if not fetched.cancelled():
+        fetched.exception()
+
+
 def _check_status(response: HTTPResponse, call: str) -> None:
     status = response.code
     if status == _OK:
--- a/packages/standins/src/geraniumshelf_standins/platform/commands.py
+++ b/packages/standins/src/geraniumshelf_standins/platform/commands.py
@@ -1,6 +1,7 @@
 """Functions that modify the state of the simulated platform."""
 
 import asyncio
+from collections import Counter
 
 from geraniumshelf_standins.platform.queries import condition_holds, instances
 from geraniumshelf_standins.platform.state import (
@@ -61,6 +62,12 @@
     state.instance_lists.append(InstanceList(now, _without(state, name, now)))
 
 
+def count_call(state: PlatformState, kind: str, source: str) -> None:
+    """Count a call of a kind by a source IP address."""
+    state.calls[kind] += 1
+    state.caller_calls.setdefault(source, Counter())[kind] += 1
+
+
 def replace_faults(state: PlatformState, faults: tuple[Fault, ...]) -> None:
     """Put other faults in force, for pending watches as well."""
     state.faults = faults
--- a/packages/standins/src/geraniumshelf_standins/platform/handlers.py
+++ b/packages/standins/src/geraniumshelf_standins/platform/handlers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections import Counter
 from typing import Final
 
 import cbor2
@@ -10,6 +11,7 @@
 
 from geraniumshelf_core.units import ns_to_seconds, seconds_to_ns
 from geraniumshelf_standins.platform.commands import (
+    count_call,
     declare_instance,
     replace_faults,
     store_object,
@@ -47,14 +49,18 @@
 
     @property
     def _fault(self) -> Fault:
-        return fault_for(self._state, self.request.remote_ip or '')
+        return fault_for(self._state, self._source)
+
+    @property
+    def _source(self) -> str:
+        return self.request.remote_ip or ''
 
     def on_connection_close(self) -> None:
         """Stop work for a caller that went away."""
         self._finished = True
 
     def _count(self, kind: str) -> None:
-        self._state.calls[kind] += 1
+        count_call(self._state, kind, self._source)
 
     async def _suffer(self) -> bool:
         """Apply delay and outage; return whether the call is over."""
@@ -237,5 +243,9 @@
     """Returns the number of calls by kind; faults do not apply."""
 
     def get(self) -> None:
-        """Return a JSON object of counts."""
-        self.write(dict(self._state.calls))
+        """Return a JSON object of counts, of one ``caller`` if given."""
+        caller = self.get_query_argument('caller', None)
+        calls = self._state.calls
+        if caller is not None:
+            calls = self._state.caller_calls.get(caller, Counter())
+        self.write(dict(calls))
--- a/packages/standins/src/geraniumshelf_standins/platform/state.py
+++ b/packages/standins/src/geraniumshelf_standins/platform/state.py
@@ -88,6 +88,8 @@
     Attributes:
         history_limit: Number of changes that are kept for watches.
         instance_lag_s: Lag of the instance list, seconds.
+        calls: Number of calls by kind.
+        caller_calls: Number of calls by kind for each source IP address.
     """
 
     history_limit: int = HISTORY_LIMIT
@@ -98,4 +100,5 @@
     instance_lists: list[InstanceList] = Factory(list)
     faults: tuple[Fault, ...] = ()
     calls: Counter[str] = Factory(Counter)
+    caller_calls: dict[str, Counter[str]] = Factory(dict)
     changed: asyncio.Event = field(factory=asyncio.Event)
--- /dev/null
+++ b/tests/daemon/loopback.py
@@ -0,0 +1,18 @@
+"""Runs scenarios over loopback with a generous bound."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+
+
+def run_scenario(scenario: Callable[[AsyncExitStack], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with AsyncExitStack() as stack:
+            await scenario(stack)
+
+    asyncio.run(asyncio.wait_for(main(), 60))
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.01)
