Poll again when a kept connection was closed by the server

A backend server that closed an idle connection lost one poll, found by a test that closes it after a response. The poll now goes over a new connection. make check: green, 88 tests.

--- a/packages/daemon/src/geraniumshelf_daemon/steering/fetch.py
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/fetch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from contextlib import suppress
 from typing import Final
 
 from tornado.http1connection import (
@@ -40,17 +41,10 @@
 
     async def fetch(self, address: str) -> ServerAnswer | None:
         """Return the load, ``None`` if there is no valid answer in time."""
-        stream = self._idle.pop(address, None)
         try:
-            body, stream = await asyncio.wait_for(
-                self._exchange(address, stream), _TIMEOUT_S
-            )
+            body = await asyncio.wait_for(self._ask(address), _TIMEOUT_S)
         except (OSError, TimeoutError, StreamClosedError):
-            if stream is not None:
-                stream.close()
             return None
-        if stream is not None:
-            self._idle[address] = stream
         return parse_load(body)
 
     def keep_only(self, addresses: frozenset[str]) -> None:
@@ -58,12 +52,17 @@
         for address in self._idle.keys() - addresses:
             self._idle.pop(address).close()
 
-    async def _exchange(
-        self, address: str, stream: IOStream | None
-    ) -> tuple[bytes, IOStream | None]:
-        if stream is None or stream.closed():
-            host, _, port = address.rpartition(':')
-            stream = await self._client.connect(host, int(port))
+    async def _ask(self, address: str) -> bytes:
+        idle = self._idle.pop(address, None)
+        if idle is not None:
+            # The server may have closed the connection since the last poll.
+            with suppress(StreamClosedError):
+                return await self._exchange(address, idle)
+        host, _, port = address.rpartition(':')
+        stream = await self._client.connect(host, int(port))
+        return await self._exchange(address, stream)
+
+    async def _exchange(self, address: str, stream: IOStream) -> bytes:
         connection = HTTP1Connection(stream, is_client=True, params=_PARAMETERS)
         response = _Response()
         try:
@@ -76,7 +75,9 @@
         except BaseException:
             stream.close()
             raise
-        return response.body(), stream if is_open else None
+        if is_open:
+            self._idle[address] = stream
+        return response.body()
 
 
 class _Response(HTTPMessageDelegate):
--- a/tests/daemon/steering/test_collector.py
+++ b/tests/daemon/steering/test_collector.py
@@ -171,13 +171,15 @@
         head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
         request.connection.stream.write(head.encode() + body)
         request.connection.finish()
+        if len(bodies) == 2:
+            request.connection.stream.close()
 
     listener, port = bind_unused_port(address='127.0.0.1')
     server = HTTPServer(respond)
     server.add_socket(listener)
     fetcher = LoadFetcher()
     answers = [await fetcher.fetch(f'127.0.0.1:{port}') for _ in range(4)]
-    assert len(sources) == 1
+    assert len(sources) == 2
     server.stop()
     await server.close_all_connections()
     answers.append(await fetcher.fetch(f'127.0.0.1:{port}'))
