--- a/packages/daemon/src/geraniumshelf_daemon/observability/redaction.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/redaction.py
@@ -9,9 +9,11 @@
 _SECRET_NAMES: Final = frozenset(
     ('key', 'api_key', 'authorization', 'geraniumshelf_key', 'caller_key')
 )
+# A value of an authorization header may hold spaces, the others may not.
 _SECRET_TEXT: Final = re.compile(
-    r'((?:\bgeraniumshelf-key|\bauthorization|\bbearer|\bkey)\W{1,4}'
-    r'(?:bearer\s+)?)[^\s\'",;)}\]]+',
+    r'(\bauthorization\W{1,4})[^\'",;\n]+'
+    r'|((?:\bgeraniumshelf-key\W{1,4}|\bbearer\s+|\bkey\W?\s*[=:]\W{0,2}))'
+    r'[^\s\'",;)}\]]+',
     re.IGNORECASE,
 )
 _SPACED_NAME: Final = re.compile(r'[^a-z]+')
@@ -23,7 +25,7 @@
     >>> redact_text('Geraniumshelf-Key: abc, next')
     'Geraniumshelf-Key: [redacted], next'
     """
-    return _SECRET_TEXT.sub(rf'\1{REDACTED}', text)
+    return _SECRET_TEXT.sub(rf'\1\2{REDACTED}', text)
 
 
 def redact_fields(fields: Mapping[str, object]) -> dict[str, str]:
--- a/tests/daemon/observability/test_records.py
+++ b/tests/daemon/observability/test_records.py
@@ -41,14 +41,17 @@
         Event.REQUEST_REFUSED,
         headers={'Authorization': f'Bearer {_KEY}'},
         request=f'Bearer {_KEY}',
+        raw=f'Authorization: Basic {_KEY}',
+        pair=f'key={_KEY}',
     )
+    log_event(Event.REQUEST_REFUSED, 'the key was revoked')
     try:
         _fail_with(_KEY)
     except ValueError:
         logger.exception('failed')
     assert _KEY not in stream.getvalue()
     assert _KEY not in str(buffer.events())
-    assert 'REQUEST_REFUSED' in stream.getvalue()
+    assert 'the key was revoked' in stream.getvalue()
 
 
 def test_json_lines_carry_event_and_fields() -> None:
