--- a/packages/core/src/geraniumshelf_core/dispatch/commands.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/commands.py
@@ -5,6 +5,7 @@
 
 from geraniumshelf_core.configuration.model import BackendServer
 from geraniumshelf_core.dispatch.state import (
+    AVOIDANCE_NS,
     EJECTED_FRACTION,
     EJECTION_NS,
     FAILURES_TO_EJECT,
@@ -74,6 +75,11 @@
     return _eject(state, server, now)
 
 
+def avoid_server(server: ServerState, now: Nanoseconds) -> None:
+    """Prefer other servers for a while after a failure or shed load."""
+    server.avoided_until = now + AVOIDANCE_NS
+
+
 def record_report(
     server: ServerState, in_flight: int, is_leaving: bool, now: Nanoseconds
 ) -> None:
--- a/packages/core/src/geraniumshelf_core/dispatch/queries.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/queries.py
@@ -60,7 +60,7 @@
         and is_available(server := state.servers[name], now)
         and server.in_flight < in_flight_limit(server, slot_limit, now)
     ]
-    for near in _by_distance(state, candidates, wish.failover):
+    for near in _by_preference(state, candidates, wish.failover, now):
         if near:
             pair = random.sample(near, min(2, len(near)))
             return min(pair, key=partial(estimated_load, now=now))
@@ -118,6 +118,17 @@
     return server.region == state.place.region
 
 
+def _by_preference(
+    state: DispatchState,
+    candidates: list[ServerState],
+    failover: tuple[str, ...],
+    now: Nanoseconds,
+) -> Iterable[list[ServerState]]:
+    sound = [one for one in candidates if one.avoided_until <= now]
+    yield from _by_distance(state, sound, failover)
+    yield from _by_distance(state, candidates, failover)
+
+
 def _by_distance(
     state: DispatchState,
     candidates: list[ServerState],
--- a/packages/core/src/geraniumshelf_core/dispatch/state.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/state.py
@@ -9,6 +9,7 @@
 EJECTION_NS: Nanoseconds = 10 * SECOND_NS
 # A reported load counts less the older it is, and not at all after this time.
 REPORT_LIFE_NS: Nanoseconds = 10 * SECOND_NS
+AVOIDANCE_NS: Nanoseconds = SECOND_NS
 # One failure is common when a connection is reset; three in a row are not.
 FAILURES_TO_EJECT = 3
 EJECTED_FRACTION = 3
@@ -35,6 +36,9 @@
         available_since: Start of its slow start; ``None`` for long ago.
         ejected_until: End of its ejection, 0 for none.
         failures: Failures in a row.
+        avoided_until: Time until which other servers are preferred, because
+            it has just failed or shed a request; unlike an ejection this
+            needs no bound, as it is still used when others have no slot.
     """
 
     server: BackendServer
@@ -46,6 +50,7 @@
     available_since: Nanoseconds | None = None
     ejected_until: Nanoseconds = 0
     failures: int = 0
+    avoided_until: Nanoseconds = 0
 
 
 @define
--- a/packages/daemon/src/geraniumshelf_daemon/front/admission.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/admission.py
@@ -29,6 +29,8 @@
 
 # A caller without a deadline does not wait longer than this for a slot.
 _DEFAULT_WAIT: Nanoseconds = 10 * SECOND_NS
+# Part of the time left that is kept for running the request.
+_RUN_SHARE = 10
 
 
 @frozen
@@ -106,7 +108,7 @@
             secret,
             caller.headers.get(ID_HEADER, ''),
             deadline,
-            deadline or now + _DEFAULT_WAIT,
+            _give_up_at(deadline, now),
         )
 
     def _check_key(
@@ -134,3 +136,9 @@
                 'no withdrawal of a key can reach this zone now',
                 retry_after_s=3,
             )
+
+
+def _give_up_at(deadline: Nanoseconds | None, now: Nanoseconds) -> Nanoseconds:
+    if deadline is None:
+        return now + _DEFAULT_WAIT
+    return deadline - (deadline - now) // _RUN_SHARE
--- a/packages/daemon/src/geraniumshelf_daemon/front/forwarding.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/forwarding.py
@@ -101,7 +101,7 @@
         raise AssertionError('the last attempt raises')
 
     async def _attempt(self, task: Task, server: ServerState) -> Finished:
-        is_failure = False
+        failure: AttemptFailed | None = None
         attempt = Attempt(
             self._pool,
             server.server.address,
@@ -115,12 +115,16 @@
             task.running.ran = Ran.RAN
             return await self._relay(task, attempt, head)
         except AttemptFailed as failed:
-            is_failure = failed.is_failure
+            failure = failed
             task.running.ran = failed.ran
             raise
         finally:
             attempt.close()
-            self._dispatcher.release(server, is_failure=is_failure)
+            self._dispatcher.release(
+                server,
+                is_failure=failure is not None and failure.is_failure,
+                is_shed=failure is not None and not failure.is_failure,
+            )
 
     async def _relay(
         self, task: Task, attempt: Attempt, head: Head
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/attempt.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/attempt.py
@@ -6,7 +6,6 @@
 
 from attrs import frozen
 from tornado.httputil import HTTPHeaders
-from tornado.iostream import StreamClosedError
 
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_daemon.observability.events import Event, log_event
@@ -86,7 +85,7 @@
             answer = await self._send(self._exchange, head)
         except SilentError as error:
             raise self._silent(Ran.UNKNOWN) from error
-        except (OSError, StreamClosedError) as error:
+        except OSError as error:
             raise AttemptFailed(
                 ResultCode.BACKEND_BROKEN,
                 'the backend server closed the connection',
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/dispatcher.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/dispatcher.py
@@ -5,10 +5,11 @@
 from random import Random
 from typing import Final
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from geraniumshelf_core.configuration.model import Configuration
 from geraniumshelf_core.dispatch.commands import (
+    avoid_server,
     begin_request,
     earn_retries,
     end_request,
@@ -94,6 +95,10 @@
         """Return what is known of the backend servers."""
         return self._state
 
+    def now(self) -> Nanoseconds:
+        """Return the current time."""
+        return self._clock()
+
     def apply(self, configuration: Configuration) -> None:
         """Take over the backend servers of a revision."""
         regions = {zone.name: zone.region for zone in configuration.zones}
@@ -109,23 +114,25 @@
                 ``OVERLOADED`` if none has a slot in time.
         """
         earn_retries(self._budget)
+        need = self._check_servers(need)
         queue = self._queues.setdefault(need.service, WaitQueue(_QUEUE_LIMIT))
         if next_ticket(queue) is None:
             server = self._choose(need)
             if server is not None:
                 return server
-        wish = self._wish(need)
-        if not has_servers(self._state, wish, self._clock()):
-            raise RequestRefused(
-                ResultCode.NO_BACKEND_SERVER,
-                f'no backend server of {need.service} takes requests',
-                retry_after_s=1,
-            )
         return await self._wait(queue, need)
 
-    def release(self, server: ServerState, *, is_failure: bool) -> None:
+    def release(
+        self,
+        server: ServerState,
+        *,
+        is_failure: bool = False,
+        is_shed: bool = False,
+    ) -> None:
         """Free a slot and give it to the next waiting request."""
         now = self._clock()
+        if is_failure or is_shed:
+            avoid_server(server, now)
         if end_request(self._state, server, is_failure, now):
             log_event(Event.BACKEND_EJECTED, server.server.name)
         queue = self._queues[server.server.service]
@@ -136,6 +143,20 @@
         """Take one retry out of the budget if it allows one."""
         return spend_retry(self._budget)
 
+    def _check_servers(self, need: Need) -> Need:
+        now = self._clock()
+        if has_servers(self._state, self._wish(need), now):
+            return need
+        # Another connection to the same server is better than no attempt.
+        need = evolve(need, excluded=frozenset())
+        if has_servers(self._state, self._wish(need), now):
+            return need
+        raise RequestRefused(
+            ResultCode.NO_BACKEND_SERVER,
+            f'no backend server of {need.service} takes requests',
+            retry_after_s=1,
+        )
+
     async def _wait(self, queue: WaitQueue, need: Need) -> ServerState:
         granted: asyncio.Future[ServerState] = (
             asyncio.get_running_loop().create_future()
@@ -152,7 +173,7 @@
             return await self._wait_turn(queue, ticket, granted)
         except asyncio.CancelledError:
             if granted.done() and not granted.exception():
-                self.release(granted.result(), is_failure=False)
+                self.release(granted.result())
             raise
         finally:
             remove(queue, ticket)
@@ -188,9 +209,7 @@
         # requests behind it.
         if not need.excluded:
             return None
-        return self._choose(
-            Need(need.service, need.account, need.may_wait, need.give_up_at)
-        )
+        return self._choose(evolve(need, excluded=frozenset()))
 
     def _choose(self, need: Need) -> ServerState | None:
         now = self._clock()
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/pool.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/pool.py
@@ -4,7 +4,7 @@
 import socket
 from collections import defaultdict
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 
@@ -67,7 +67,7 @@
             await asyncio.wait_for(
                 stream.connect((host, int(port))), self._timeout_s
             )
-        except (OSError, StreamClosedError, TimeoutError) as error:
+        except OSError as error:
             stream.close()
             raise ConnectionError(f'cannot connect to {address}') from error
         except asyncio.CancelledError:
--- a/packages/standins/src/geraniumshelf_standins/backend/server.py
+++ b/packages/standins/src/geraniumshelf_standins/backend/server.py
@@ -162,7 +162,7 @@
         backend.records.append(self._record)
         if self._is_silenced():
             self._record.outcome = 'silent'
-            await self._ended.wait()
+            await self._stay_silent()
         elif backend.faults.shed or backend.in_flight >= backend.slots:
             self._close('shed')
             self.set_status(_SHED)
@@ -180,7 +180,7 @@
         outcome = await self._spend_time()
         if self._is_silenced():
             self._close('silent')
-            await self._ended.wait()
+            await self._stay_silent()
         if self._ended.is_set() and self._record.outcome != 'running':
             return
         if outcome == 'deadline':
@@ -249,6 +249,13 @@
         if self._counted:
             _count(self.backend, -1)
 
+    async def _stay_silent(self) -> None:
+        # Tornado watches the connection only after prepare has returned.
+        stream = getattr(self.request.connection, 'stream', None)
+        if stream is not None:
+            stream.set_close_callback(self._ended.set)
+            await self._ended.wait()
+
     def _is_silenced(self) -> bool:
         stream = getattr(self.request.connection, 'stream', None)
         birth = self._server.births.get(stream, 0) if stream else 0
--- /dev/null
+++ b/tests/core/dispatch/test_waiting.py
@@ -0,0 +1,89 @@
+"""Guards the turns of client accounts in the queue for slots."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumshelf_core.dispatch.waiting.commands import (
+    enqueue,
+    record_end,
+    remove,
+    take_next,
+)
+from geraniumshelf_core.dispatch.waiting.queries import (
+    queue_length,
+    turns_before,
+)
+from geraniumshelf_core.dispatch.waiting.state import (
+    Queued,
+    Ticket,
+    TurnedAway,
+    WaitQueue,
+)
+from geraniumshelf_core.units import SECOND_NS
+
+_TICKETS = st.lists(
+    st.tuples(st.sampled_from('abcd'), st.booleans()), max_size=40
+)
+
+
+@given(_TICKETS, st.integers(1, 12))
+def test_queue_is_bounded_and_estimates_never_fall_short(
+    wishes: list[tuple[str, bool]], limit: int
+) -> None:
+    """A wait that was promised too short would miss its deadline."""
+    queue = WaitQueue(limit)
+    for account, may_wait in wishes:
+        ticket = Ticket(account, may_wait, SECOND_NS)
+        ahead = turns_before(queue, ticket)
+        if isinstance(enqueue(queue, ticket, 0), TurnedAway):
+            continue
+        assert queue_length(queue) <= limit
+        trial = WaitQueue(limit)
+        for lane, copy in (
+            (queue.urgent, trial.urgent),
+            (queue.patient, trial.patient),
+        ):
+            copy.update({name: row.copy() for name, row in lane.items()})
+        turns = 0
+        while take_next(trial) is not ticket:
+            turns += 1
+        assert turns <= ahead
+
+
+@given(st.integers(1, 200))
+def test_flood_of_one_account_delays_another_by_one_turn(flood: int) -> None:
+    """Fairness: a flooding account must not push others back."""
+    queue = WaitQueue(50)
+    for _ in range(flood):
+        enqueue(queue, Ticket('flood', False, SECOND_NS), 0)
+    ticket = Ticket('quiet', False, SECOND_NS)
+    assert isinstance(enqueue(queue, ticket, 0), Queued)
+    assert ticket in (take_next(queue), take_next(queue))
+
+
+def test_patient_tickets_come_last_and_lose_their_place_first() -> None:
+    """Calendar reads must not delay sales."""
+    queue = WaitQueue(2)
+    patient = [Ticket('a', True, SECOND_NS) for _ in range(2)]
+    for ticket in patient:
+        enqueue(queue, ticket, 0)
+    urgent = Ticket('a', False, SECOND_NS)
+    assert enqueue(queue, urgent, 0) == Queued(patient[1])
+    assert take_next(queue) is urgent
+    assert take_next(queue) is patient[0]
+    assert take_next(queue) is None
+
+
+def test_hopeless_wait_is_turned_away_at_once() -> None:
+    """A caller that cannot be served in time should know it now."""
+    queue = WaitQueue(50)
+    for second in range(60):
+        record_end(queue, second * SECOND_NS)
+    now = 60 * SECOND_NS
+    first = Ticket('a', False, now + 2 * SECOND_NS)
+    assert isinstance(enqueue(queue, first, now), Queued)
+    refused = enqueue(queue, Ticket('a', False, now + SECOND_NS), now)
+    assert isinstance(refused, TurnedAway)
+    assert refused.wait > SECOND_NS
+    remove(queue, first)
+    assert queue_length(queue) == 0
