--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/dispatch/links/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares of a link between regions."""
--- a/packages/daemon/src/geraniumshelf_daemon/front/caller.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/caller.py
@@ -12,6 +12,7 @@
     ResponseStartLine,
 )
 
+from geraniumshelf_daemon.front.framing import check_framing
 from geraniumshelf_daemon.front.reply import Reply
 from geraniumshelf_daemon.upstream.channel import ByteChannel
 
@@ -33,15 +34,19 @@
         connection: HTTP1Connection,
         serve: Serve,
         is_leaving: Callable[[], bool],
+        on_head: Callable[[], None],
     ) -> None:
         self._connection = connection
         self._serve = serve
         self._is_leaving = is_leaving
+        self._on_head = on_head
         self._start_line = RequestStartLine('', '', '')
         self._headers = HTTPHeaders()
         self._task: asyncio.Task[None] | None = None
         self.body = ByteChannel()
-        self.reply = Reply(connection, self.body, self._must_close)
+        self.reply = Reply(
+            connection, self.body, self._must_close, self._is_head
+        )
 
     @property
     def method(self) -> str:
@@ -75,8 +80,14 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        """Start the task that serves the request."""
+        """Start the task that serves the request.
+
+        Raises:
+            HTTPInputError: If the length of the body is not certain.
+        """
         assert isinstance(start_line, RequestStartLine)
+        check_framing(start_line.method, headers)
+        self._on_head()
         self._start_line = start_line
         self._headers = headers
         self._connection.set_close_callback(self.on_connection_close)
@@ -96,6 +107,9 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _is_head(self) -> bool:
+        return self.method == 'HEAD'
+
     def _must_close(self, headers: HTTPHeaders) -> bool:
         if self._is_leaving():
             return True
--- a/packages/daemon/src/geraniumshelf_daemon/front/forwarding.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/forwarding.py
@@ -6,6 +6,7 @@
 from attrs import evolve, frozen
 from tornado.httputil import HTTPHeaders
 
+from geraniumshelf_core.dispatch.links.state import FlowName
 from geraniumshelf_core.dispatch.state import ServerState
 from geraniumshelf_core.errors import Ran, RequestRefused
 from geraniumshelf_core.idempotency.state import LARGEST_KEPT_BODY, Finished
@@ -15,6 +16,7 @@
 )
 from geraniumshelf_daemon.front.admission import Order
 from geraniumshelf_daemon.front.caller import Caller
+from geraniumshelf_daemon.front.framing import BODY_METHODS
 from geraniumshelf_daemon.front.headers import (
     ACCOUNT_HEADER,
     DEADLINE_HEADER,
@@ -25,6 +27,7 @@
 from geraniumshelf_daemon.front.running import RunningRequest
 from geraniumshelf_daemon.upstream.attempt import Attempt, Head, RequestHead
 from geraniumshelf_daemon.upstream.dispatcher import Dispatcher, Need
+from geraniumshelf_daemon.upstream.links import LinkPacer, Passage
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 from geraniumshelf_daemon.upstream.progress import (
     AttemptFailed,
@@ -35,7 +38,6 @@
 
 _MS_PER_S: Final = 1000
 _MOST_ATTEMPTS: Final = 3
-_BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
 # A backend server that shed load or refused is likely to take work soon.
 _RETRY_AFTER_S: Final = 1
 
@@ -64,10 +66,12 @@
         self,
         dispatcher: Dispatcher,
         pool: ConnectionPool,
+        pacer: LinkPacer,
         clock: Callable[[], Nanoseconds],
     ) -> None:
         self._dispatcher = dispatcher
         self._pool = pool
+        self._pacer = pacer
         self._clock = clock
 
     async def run(
@@ -83,7 +87,7 @@
             caller,
             order,
             running,
-            Upload(caller.body, has_body=caller.has_body),
+            Upload(caller.body, self._pacer, has_body=caller.has_body),
         )
         need = Need(
             order.service.name,
@@ -107,6 +111,7 @@
             server.server.address,
             task.order.service.progress_timeout_ms / _MS_PER_S,
             task.upload,
+            self._passage(task.order, server),
         )
         try:
             head = await attempt.start(
@@ -137,6 +142,7 @@
         try:
             await within(timeout_s, reply.begin(status, reason, relayed))
             while chunk := await attempt.next_chunk():
+                await self._pacer.receive(attempt.passage, len(chunk))
                 if len(kept) <= LARGEST_KEPT_BODY:
                     kept += chunk
                 await within(timeout_s, reply.write(chunk))
@@ -151,6 +157,18 @@
             bytes(kept) if is_kept else None,
         )
 
+    def _passage(self, order: Order, server: ServerState) -> Passage:
+        service, route = order.service, order.route
+        return Passage(
+            server.region,
+            FlowName(
+                service.name,
+                order.account,
+                service.link_weight,
+                route.may_wait,
+            ),
+        )
+
     def _check_retry(
         self, task: Task, failed: AttemptFailed, attempts_left: int
     ) -> None:
@@ -173,8 +191,10 @@
         def make_headers() -> HTTPHeaders:
             headers = forwarded_headers(caller.headers, order.secret)
             headers.update(self._own_headers(order))
+            # Callers of HTTP/1.0 need not send it, but servers require it.
+            headers.setdefault('Host', order.service.name)
             if not caller.has_body:
-                if caller.method in _BODY_METHODS:
+                if caller.method in BODY_METHODS:
                     headers['Content-Length'] = '0'
             elif 'Content-Length' not in headers:
                 headers['Transfer-Encoding'] = 'chunked'
--- a/packages/daemon/src/geraniumshelf_daemon/front/front.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/front.py
@@ -10,6 +10,7 @@
 from geraniumshelf_daemon.front.server import FrontServer
 from geraniumshelf_daemon.replication.interface import ConfigurationSource
 from geraniumshelf_daemon.upstream.dispatcher import Dispatcher
+from geraniumshelf_daemon.upstream.links import LinkPacer
 
 # Requests that reached the socket before it closes are still accepted.
 _LAST_ACCEPT_S: Final = 0.05
@@ -19,11 +20,16 @@
     """Serves callers."""
 
     def __init__(
-        self, pipeline: Pipeline, gate: Gate, dispatcher: Dispatcher
+        self,
+        pipeline: Pipeline,
+        gate: Gate,
+        dispatcher: Dispatcher,
+        pacer: LinkPacer,
     ) -> None:
         self._pipeline = pipeline
         self._gate = gate
         self._dispatcher = dispatcher
+        self._pacer = pacer
         self._server = FrontServer(pipeline.serve)
 
     @property
@@ -41,6 +47,7 @@
         """Apply a revision and end requests whose key it withdraws."""
         self._gate.apply(configuration)
         self._dispatcher.apply(configuration)
+        self._pacer.apply(configuration)
         table = self._gate.table
         if table is not None:
             self._pipeline.running.end_withdrawn(table.keys)
--- a/packages/daemon/src/geraniumshelf_daemon/front/reply.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/reply.py
@@ -30,6 +30,7 @@
         connection: The connection to the caller.
         body: The request body.
         must_close: Whether the connection ends with this answer.
+        has_no_body: Whether the method allows no body in the answer.
     """
 
     def __init__(
@@ -37,10 +38,12 @@
         connection: HTTP1Connection,
         body: ByteChannel,
         must_close: Callable[[HTTPHeaders], bool],
+        has_no_body: Callable[[], bool],
     ) -> None:
         self._connection = connection
         self._body = body
         self._must_close = must_close
+        self._has_no_body = has_no_body
         self._closes = False
         self._has_begun = False
 
@@ -86,7 +89,7 @@
     ) -> None:
         """Write a whole answer; the headers hold its length in bytes."""
         await self.begin(status, reason, headers)
-        if body:
+        if body and not self._has_no_body():
             await self.write(body)
         await self.end()
 
--- a/packages/daemon/src/geraniumshelf_daemon/front/server.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/server.py
@@ -1,5 +1,7 @@
 """The HTTP server for callers."""
 
+import asyncio
+from socket import socket
 from sys import maxsize
 from typing import Any, Final
 
@@ -61,7 +63,7 @@
 
 class _Listener(HTTPServer):
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
-        own = _CallerStream(stream.socket, max_buffer_size=_BUFFER)
+        own = _CallerStream(stream.socket)
         own.set_nodelay(True)
         super().handle_stream(own, address)
 
@@ -75,17 +77,38 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         assert isinstance(request_conn, HTTP1Connection)
-        return Caller(request_conn, self._serve, self._ask_leaving)
+        stream = request_conn.stream
+        assert isinstance(stream, _CallerStream)
+        stream.has_head = False
+        return Caller(
+            request_conn, self._serve, self._ask_leaving, stream.note_head
+        )
 
     def _ask_leaving(self) -> bool:
         return self.is_leaving
 
 
 class _CallerStream(IOStream):
-    """Gives answers with a result code where tornado gives bare ones."""
+    """Gives answers with a result code where tornado gives bare ones.
+
+    Attributes:
+        has_head: Whether the request was handed over. It may be running, so
+            a later error in its body must not be answered with "not run".
+    """
+
+    def __init__(self, accepted: socket) -> None:
+        super().__init__(accepted, max_buffer_size=_BUFFER)
+        self.has_head = False
+
+    def note_head(self) -> None:
+        """Note that the request was handed over."""
+        self.has_head = True
 
     def write(self, data: bytes | memoryview) -> Any:
         """Replace tornado's answer to a malformed request."""
+        if data == _BARE_REFUSAL and self.has_head:
+            self.close()
+            return asyncio.sleep(0)
         if data == _BARE_REFUSAL:
             return super().write(
                 whole_refusal(
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/attempt.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/attempt.py
@@ -10,6 +10,7 @@
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.upstream.exchange import Exchange
+from geraniumshelf_daemon.upstream.links import Passage
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 from geraniumshelf_daemon.upstream.progress import (
     AttemptFailed,
@@ -49,15 +50,22 @@
         address: str,
         timeout_s: float,
         upload: Upload,
+        passage: Passage,
     ) -> None:
         self._pool = pool
         self._address = address
         self._progress = Progress(timeout_s)
         self._upload = upload
+        self._passage = passage
         self._exchange: Exchange | None = None
         self._sending: asyncio.Task[None] | None = None
         self._stream_is_free = False
 
+    @property
+    def passage(self) -> Passage:
+        """Return the way to the backend server's region."""
+        return self._passage
+
     async def start(
         self, head: RequestHead, on_sending: Callable[[], None]
     ) -> Head:
@@ -143,7 +151,7 @@
         timeout_s = self._progress.timeout_s
         await within(timeout_s, exchange.start(head.headers()))
         self._sending = asyncio.get_running_loop().create_task(
-            self._upload.send(exchange, self._progress)
+            self._upload.send(exchange, self._passage, self._progress)
         )
         self._sending.add_done_callback(_mark_retrieved)
         answer = asyncio.ensure_future(exchange.wait_head())
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/upload.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/upload.py
@@ -5,6 +5,7 @@
 from geraniumshelf_core.errors import RequestRefused, ResultCode
 from geraniumshelf_daemon.upstream.channel import ByteChannel
 from geraniumshelf_daemon.upstream.exchange import Exchange
+from geraniumshelf_daemon.upstream.links import LinkPacer, Passage
 from geraniumshelf_daemon.upstream.progress import (
     Progress,
     SilentError,
@@ -20,11 +21,15 @@
 
     Args:
         body: Chunks that arrive from the caller.
+        pacer: Holds chunks back on links to other regions.
         has_body: Whether the request announces a body.
     """
 
-    def __init__(self, body: ByteChannel, *, has_body: bool) -> None:
+    def __init__(
+        self, body: ByteChannel, pacer: LinkPacer, *, has_body: bool
+    ) -> None:
         self._body = body
+        self._pacer = pacer
         self._kept: list[bytes] = []
         self._kept_bytes = 0
         self._is_whole = not has_body
@@ -33,7 +38,7 @@
 
     @property
     def is_waiting(self) -> bool:
-        """Return whether the caller has the next step."""
+        """Return whether it waits for the caller or a share of a link."""
         return self._is_waiting
 
     @property
@@ -41,7 +46,9 @@
         """Return whether the body can be sent from its beginning."""
         return self._can_replay
 
-    async def send(self, exchange: Exchange, progress: Progress) -> None:
+    async def send(
+        self, exchange: Exchange, passage: Passage, progress: Progress
+    ) -> None:
         """Send the whole body.
 
         Raises:
@@ -49,15 +56,24 @@
             OSError: If either connection was closed.
         """
         for kept in tuple(self._kept):
-            await exchange.send(kept)
+            await self._pass_on(kept, exchange, passage)
             progress.steps += 1
         while not self._is_whole:
             chunk = await self._take(progress.timeout_s)
             if chunk:
-                await exchange.send(chunk)
+                await self._pass_on(chunk, exchange, passage)
                 progress.steps += 1
         exchange.finish()
 
+    async def _pass_on(
+        self, chunk: bytes, exchange: Exchange, passage: Passage
+    ) -> None:
+        # Waiting for a share of the link says nothing about the server.
+        self._is_waiting = True
+        await self._pacer.send(passage, len(chunk))
+        self._is_waiting = False
+        await exchange.send(chunk)
+
     async def _take(self, timeout_s: float) -> bytes:
         self._is_waiting = True
         try:
--- a/tests/daemon/front/harness.py
+++ b/tests/daemon/front/harness.py
@@ -36,6 +36,7 @@
 from geraniumshelf_daemon.front.pipeline import Pipeline, Sources
 from geraniumshelf_daemon.idempotency.decider import RunDecider
 from geraniumshelf_daemon.upstream.dispatcher import Dispatcher
+from geraniumshelf_daemon.upstream.links import LinkPacer
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 from geraniumshelf_standins.backend.server import BackendServer
 from geraniumshelf_standins.backend.state import Backend, Faults, Record
@@ -256,11 +257,12 @@
     peers = Peers()
     decider = RunDecider('me', peers, peers, current_time)
     decider.issue('a1/0', 7)
-    forwarder = Forwarder(dispatcher, pool, current_time)
+    pacer = LinkPacer('a', current_time)
+    forwarder = Forwarder(dispatcher, pool, pacer, current_time)
     pipeline = Pipeline(
         Sources(gate, settings, settings, decider, forwarder, current_time)
     )
-    front = Front(pipeline, gate, dispatcher)
+    front = Front(pipeline, gate, dispatcher, pacer)
     front.apply(revision)
     port = front.listen('127.0.0.1', 0)
     try:
--- a/tests/daemon/front/test_refusals.py
+++ b/tests/daemon/front/test_refusals.py
@@ -4,7 +4,14 @@
 import json
 
 import pytest
-from tests.daemon.front.harness import KEY, OTHER_KEY, run, world
+from tests.daemon.front.harness import (
+    KEY,
+    OTHER_KEY,
+    Connection,
+    run,
+    until,
+    world,
+)
 
 from geraniumshelf_core.errors import RequestRefused, ResultCode
 
@@ -172,3 +179,68 @@
             assert len(done) == 1
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        'POST /desk/sale HTTP/1.1\r\nContent-Length: 1\r\n'
+        'Transfer-Encoding: chunked',
+        'GET /desk/list HTTP/1.1\r\nTransfer-Encoding: chunked',
+        'POST /desk/sale HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1',
+        'POST /desk/sale HTTP/1.1\r\nTransfer-Encoding: gzip',
+    ],
+)
+def test_uncertain_length_never_reaches_a_server(head: str) -> None:
+    """A server could read a second request out of the body."""
+
+    async def scenario() -> None:
+        async with world() as w:
+            caller = await w.connect()
+            text = f'{head}\r\nGeraniumshelf-Key: {KEY}\r\n\r\n1\r\nx\r\n'
+            caller.writer.write(text.encode())
+            answer = await caller.receive()
+            assert answer.code == ResultCode.MALFORMED_REQUEST
+            assert answer.ran == 'not-run'
+            assert not w.records
+
+    run(scenario)
+
+
+def test_broken_body_of_a_running_request_gets_no_not_run() -> None:
+    """The request had reached a server; "not run" would be a lie."""
+
+    async def scenario() -> None:
+        async with world() as w:
+            caller = await w.connect()
+            head = 'POST /desk/sale HTTP/1.1\r\nTransfer-Encoding: chunked'
+            text = f'{head}\r\nGeraniumshelf-Key: {KEY}\r\n\r\n1\r\nx\r\n'
+            caller.writer.write(text.encode())
+            await until(lambda: len(w.records) == 1)
+            caller.writer.write(b'no length\r\n')
+            assert await _read_all(caller) == b''
+            await until(lambda: w.records[0].outcome == 'cancelled')
+
+    run(scenario)
+
+
+def test_head_request_is_refused_without_a_body() -> None:
+    """A body after HEAD would be read as the next answer."""
+
+    async def scenario() -> None:
+        async with world() as w:
+            caller = await w.connect()
+            caller.send('HEAD', '/desk/list', key='')
+            head = await caller.reader.readuntil(b'\r\n\r\n')
+            assert b' 401 ' in head
+            assert (await caller.ask()).body == b'answer'
+            caller.close()
+
+    run(scenario)
+
+
+async def _read_all(caller: Connection) -> bytes:
+    try:
+        return await caller.reader.read(-1)
+    except ConnectionError:
+        return b''
