Keep what an earlier attempt may have done in refusals

A retried request whose second attempt was shed, or refused for any other reason, was answered with not-run although the first attempt may have run. A randomized test over all server faults found it and now passes, as does make check.

--- a/packages/daemon/src/geraniumshelf_daemon/front/forwarding.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/forwarding.py
@@ -106,6 +106,7 @@
 
     async def _attempt(self, task: Task, server: ServerState) -> Finished:
         failure: AttemptFailed | None = None
+        before = task.running.ran
         attempt = Attempt(
             self._pool,
             server.server.address,
@@ -121,7 +122,9 @@
             return await self._relay(task, attempt, head)
         except AttemptFailed as failed:
             failure = failed
-            task.running.ran = failed.ran
+            # An earlier attempt may have run, whatever became of this one.
+            if before is Ran.NOT_RUN:
+                task.running.ran = failed.ran
             raise
         finally:
             attempt.close()
@@ -181,7 +184,7 @@
         raise RequestRefused(
             failed.code,
             failed.detail,
-            ran=failed.ran,
+            ran=task.running.ran,
             retry_after_s=_RETRY_AFTER_S if is_safe else None,
         )
 
--- a/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
@@ -96,7 +96,7 @@
         try:
             await self._serve(caller, running)
         except RequestRefused as refusal:
-            await _refuse(caller, refusal)
+            await _refuse(caller, _with_attempts(refusal, running))
         except asyncio.CancelledError:
             await _refuse(caller, running.refusal)
 
@@ -210,6 +210,20 @@
             )
 
 
+def _with_attempts(
+    refusal: RequestRefused, running: RunningRequest
+) -> RequestRefused:
+    # Whoever refuses knows nothing of what was sent to a server before.
+    if refusal.ran is not Ran.NOT_RUN or running.ran is Ran.NOT_RUN:
+        return refusal
+    return RequestRefused(
+        refusal.code,
+        refusal.detail,
+        ran=running.ran,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
 async def _refuse(caller: Caller, refusal: RequestRefused | None) -> None:
     if refusal is None or caller.reply.has_begun:
         caller.reply.abort()
--- /dev/null
+++ b/tests/daemon/front/test_chaos.py
@@ -0,0 +1,97 @@
+"""Judges many callers under changing faults from the servers' records."""
+
+import asyncio
+from collections import Counter
+from hashlib import sha256
+from random import Random
+
+import pytest
+from tests.daemon.front.harness import Answer, World, run, world
+
+from geraniumshelf_daemon.clock import current_time
+
+_CALLERS = 16
+_REQUESTS = 25
+_FAULTS = (
+    {'shed': True},
+    {'cut_after': 1000},
+    {'late_ms': 30},
+    {'late_ms': 700},
+    {'silence': 1},
+    {'silence': 2},
+    {},
+    {},
+)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_answers_are_true_whatever_the_servers_do(seed: int) -> None:
+    """Guarantees 4, 7, 8 and 9 with all faults together."""
+
+    async def scenario() -> None:
+        async with world(servers=3, slots=4, progress_ms=400) as w:
+            random = Random(seed)
+            breaking = asyncio.ensure_future(_break_servers(w, random))
+            answers: dict[str, Answer] = {}
+            await asyncio.gather(
+                *(_call(w, n, Random(n), answers) for n in range(_CALLERS))
+            )
+            breaking.cancel()
+            await w.front.drain(current_time())
+            ran = Counter(
+                record.request_id
+                for record in w.records
+                if record.outcome != 'shed'
+            )
+            sales = {name for name in answers if 'sale' in name}
+            assert all(ran[name] <= 1 for name in sales)
+            for name, answer in answers.items():
+                if answer.ran == 'not-run':
+                    assert not ran[name], answer
+                elif answer.status == 200 and answer.is_whole:
+                    digest = sha256(answer.body).hexdigest()
+                    assert answer.headers['body-digest'] == digest
+                    told = answer.headers['geraniumshelf-request-id']
+                    assert told == name
+                    assert ran[name]
+            good = sum(a.status == 200 and a.is_whole for a in answers.values())
+            assert good > len(answers) / 3
+            states = w.dispatcher.state.servers.values()
+            assert all(state.in_flight == 0 for state in states)
+
+    run(scenario)
+
+
+async def _break_servers(w: World, random: Random) -> None:
+    calm = {'shed': False, 'cut_after': None, 'late_ms': 0}
+    while True:
+        index = random.randrange(3)
+        fault = dict(random.choice(_FAULTS))
+        if 'silence' in fault:
+            faults = w.servers[index].backend.faults
+            fault['silence'] = faults.silence + 1
+        w.fault(index, **{**calm, **fault})
+        await asyncio.sleep(0.02)
+
+
+async def _call(
+    w: World, number: int, random: Random, answers: dict[str, Answer]
+) -> None:
+    for turn in range(_REQUESTS):
+        is_sale = random.random() < 0.5
+        kind = 'sale' if is_sale else 'list'
+        name = f'{w.prefix()}{kind}-{number}-{turn}'
+        headers = [f'Geraniumshelf-Request-Id: {name}']
+        if random.random() < 0.3:
+            headers.append('Geraniumshelf-Deadline-Ms: 300')
+        size = 16 * random.randrange(1, 9000)
+        path = f'/desk/{kind}?size={size}'
+        method = 'POST' if is_sale else 'PUT'
+        answers[name] = await _ask(w, method, path, headers)
+
+
+async def _ask(w: World, method: str, path: str, headers: list[str]) -> Answer:
+    try:
+        return await w.ask(method, path, headers=headers, body=b'x' * 5000)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Answer(0, {}, b'', False)
--- a/tests/daemon/front/test_failures.py
+++ b/tests/daemon/front/test_failures.py
@@ -171,6 +171,7 @@
             caller.send('PUT', '/desk/list', body=b'half', length=1000)
             answer = await caller.receive()
             assert answer.code == ResultCode.CALLER_SILENT
+            assert answer.ran == 'unknown'
             await until(lambda: outcomes(w) == ['cancelled'])
 
     run(scenario)
