Add the allowance service, the slot claims and the allowance trial

Daemons pool the floors of an account at its owner by loans, fetch tokens from it and claim their slots on the platform. The trial runs the services of nine daemons in virtual time.

--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts, shared with the other daemons."""
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/slots/__init__.py
@@ -0,0 +1,1 @@
+"""The claim of a slot of the own availability zone."""
--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/peer_network.py
@@ -0,0 +1,111 @@
+"""Peer links in memory, with delay and loss."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any, Final
+
+from attrs import Factory, define
+
+from geraniumshelf_core.codec import Frame, decode_frame, encode_frame
+from geraniumshelf_core.errors import PeerError, ResultCode
+from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
+
+# What a logical clock and a correlation id typically take on the wire.
+_TYPICAL_NUMBER: Final = 100_000
+
+
+_Handler = Callable[[str, Any], Awaitable[Any]]
+
+
+@define(eq=False)
+class MemoryLinks:
+    """Connects the networks of all simulated daemons.
+
+    Attributes:
+        delay_s: One-way delay between two instances, seconds.
+        random: Source of losses.
+        loss: Share of messages lost.
+        cut: Instances that nothing reaches.
+        sent_bytes: Bytes of frames sent, by instance.
+    """
+
+    delay_s: Callable[[str, str], float]
+    random: Random
+    loss: float = 0
+    cut: set[str] = Factory(set)
+    sent_bytes: Counter[str] = Factory(Counter)
+    networks: 'dict[str, MemoryNetwork]' = Factory(dict)
+    tasks: set[asyncio.Task[None]] = Factory(set)
+
+    def network(self, instance: str) -> 'MemoryNetwork':
+        """Return a new network of an instance."""
+        self.networks[instance] = MemoryNetwork(instance, self)
+        return self.networks[instance]
+
+    async def carry(self, source: str, target: str, message: Any) -> Any:
+        """Delay a message; ``PEER_TIMEOUT`` stands for its loss."""
+        encoded = encode_frame(Frame(_TYPICAL_NUMBER, _TYPICAL_NUMBER, message))
+        self.sent_bytes[source] += len(encoded)
+        await asyncio.sleep(self.delay_s(source, target))
+        is_cut = source in self.cut or target in self.cut
+        if is_cut or self.random.random() < self.loss:
+            raise PeerError(ResultCode.PEER_TIMEOUT, 'message lost')
+        return decode_frame(encoded).message
+
+
+@define(eq=False)
+class MemoryNetwork:
+    """The peer network of one simulated daemon."""
+
+    _instance: str
+    _links: MemoryLinks
+    _handlers: dict[type, _Handler] = Factory(dict)
+
+    def register(
+        self,
+        message_type: type,
+        handler: _Handler,
+    ) -> None:
+        """Hand received messages of a type to a handler."""
+        self._handlers[message_type] = handler
+
+    def connected(self) -> tuple[str, ...]:
+        """Return the other instances."""
+        return tuple(
+            name for name in self._links.networks if name != self._instance
+        )
+
+    def notify(self, instance: str, message: Any) -> None:
+        """Send a message without an answer."""
+        task = asyncio.create_task(self._deliver_quietly(instance, message))
+        self._links.tasks.add(task)
+        task.add_done_callback(self._links.tasks.discard)
+
+    async def request(
+        self, instance: str, message: Any, timeout: Nanoseconds
+    ) -> Any:
+        """Send a message and return the answer."""
+        answer = asyncio.ensure_future(self._exchange(instance, message))
+        done, _ = await asyncio.wait([answer], timeout=ns_to_seconds(timeout))
+        if not done:
+            # A late answer is dropped; the peer has handled the request.
+            answer.add_done_callback(lambda task: task.exception())
+            raise PeerError(ResultCode.PEER_TIMEOUT, 'no answer in time')
+        return answer.result()
+
+    async def _exchange(self, instance: str, message: Any) -> Any:
+        answer = await self._deliver(instance, message)
+        return await self._links.carry(instance, self._instance, answer)
+
+    async def _deliver(self, instance: str, message: Any) -> Any:
+        received = await self._links.carry(self._instance, instance, message)
+        handlers = self._links.networks[instance]._handlers
+        return await handlers[type(received)](self._instance, received)
+
+    async def _deliver_quietly(self, instance: str, message: Any) -> None:
+        try:
+            await self._deliver(instance, message)
+        except PeerError:
+            return
--- /dev/null
+++ b/packages/standins/src/geraniumshelf_standins/virtual_time.py
@@ -0,0 +1,48 @@
+"""An event loop whose time passes only while all tasks wait."""
+
+import asyncio
+import selectors
+from collections.abc import Mapping
+from typing import Any
+
+
+class _InstantSelector(selectors.BaseSelector):
+    """Skips the wait that the loop asks for."""
+
+    def __init__(self) -> None:
+        self.now = float(0)
+        self._inner = selectors.DefaultSelector()
+
+    def register(
+        self, fileobj: Any, events: int, data: Any = None
+    ) -> selectors.SelectorKey:
+        return self._inner.register(fileobj, events, data)
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        return self._inner.unregister(fileobj)
+
+    def get_map(self) -> Mapping[Any, selectors.SelectorKey]:
+        return self._inner.get_map()
+
+    def close(self) -> None:
+        self._inner.close()
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None:
+            raise RuntimeError('all tasks wait for ever')
+        self.now += max(0, timeout)
+        return []
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Runs tasks in virtual time; for tasks without sockets only."""
+
+    def __init__(self) -> None:
+        self._instant = _InstantSelector()
+        super().__init__(self._instant)
+
+    def time(self) -> float:
+        """Return virtual seconds."""
+        return self._instant.now
--- /dev/null
+++ b/tests/daemon/allowances/test_service.py
@@ -0,0 +1,146 @@
+"""Guards admission over several daemons with lost messages and cuts."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from tools.allowance_trial import Fleet, configuration
+
+from geraniumshelf_core.configuration.model import (
+    ClientAccount,
+    Configuration,
+)
+from geraniumshelf_core.errors import RequestRefused, ResultCode
+from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_standins.virtual_time import VirtualTimeLoop
+
+RATE = 20
+BURST = 18
+
+
+def _run(scenario: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def started() -> None:
+        settings = configuration({'vendor': (RATE, BURST)})
+        fleet = Fleet(settings, 7)
+        runs = [
+            asyncio.create_task(service.run())
+            for service in fleet.services.values()
+        ]
+        await asyncio.sleep(10)
+        await scenario(fleet)
+        for run in (*runs, *fleet.links.tasks):
+            run.cancel()
+        await asyncio.gather(*runs, *fleet.links.tasks, return_exceptions=True)
+
+    loop = VirtualTimeLoop()
+    loop.run_until_complete(started())
+    loop.close()
+
+
+async def _flood(fleet: Fleet, name: str, count: int) -> list[int]:
+    """Return the times of admissions of requests that come at once."""
+
+    async def one() -> int | None:
+        try:
+            await fleet.services[name].acquire(
+                'vendor', fleet.clock() + 4 * SECOND_NS
+            )
+        except RequestRefused as refusal:
+            assert refusal.code is ResultCode.RATE_EXCEEDED
+            assert (refusal.retry_after_s or 0) >= 1
+            return None
+        return fleet.clock()
+
+    times = await asyncio.gather(*(one() for _ in range(count)))
+    return sorted(time for time in times if time is not None)
+
+
+def _check(times: list[int]) -> None:
+    times.sort()
+    for index, start in enumerate(times):
+        for count, time in enumerate(times[index:], 1):
+            assert count * SECOND_NS <= RATE * (time - start) + (
+                BURST * SECOND_NS
+            )
+
+
+def test_one_daemon_gets_the_whole_burst() -> None:
+    """Equal buckets would refuse most of a burst at one daemon."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for name in fleet.names:
+            times = await _flood(fleet, name, BURST - 1)
+            assert len(times) == BURST - 1
+            await asyncio.sleep(5)
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize('loss', [0, 0.1, 0.5])
+def test_flood_with_losses_stays_within_the_bound(loss: float) -> None:
+    """A retry or a lost answer must never create tokens."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.links.loss = loss
+        times: list[int] = []
+        for _ in range(60):
+            for name in fleet.names:
+                times += await _flood(fleet, name, 3)
+            await asyncio.sleep(0.1)
+        _check(times)
+        assert len(times) > BURST
+
+    _run(scenario)
+
+
+def test_cut_off_daemon_regains_its_floor() -> None:
+    """A partitioned zone would otherwise serve nobody."""
+
+    async def scenario(fleet: Fleet) -> None:
+        name = fleet.names[0]
+        fleet.links.cut.add(name)
+        await asyncio.sleep(6)
+        times = await _flood(fleet, name, BURST)
+        assert len(times) == BURST // len(fleet.names)
+        times += await _flood(fleet, fleet.names[1], BURST)
+        assert len(times) >= BURST - BURST // len(fleet.names) - 1
+        _check(times)
+
+    _run(scenario)
+
+
+def test_lowered_limit_holds_after_one_term() -> None:
+    """A loan of the former size must not be renewed at that size."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.configuration = Configuration(
+            'trial',
+            zones=fleet.source.configuration.zones,
+            accounts=(ClientAccount('vendor', 9, 9),),
+        )
+        fleet.source.revision = fleet.members.revision = 2
+        await asyncio.sleep(6)
+        times = await _flood(fleet, fleet.names[0], 30)
+        assert 1 <= len(times) <= 9 + 1
+        await asyncio.sleep(10)
+        times = await _flood(fleet, fleet.names[0], 30)
+        assert 8 <= len(times) <= 9 + 1
+
+    _run(scenario)
+
+
+def test_owner_change_hands_floors_over() -> None:
+    """The former owner must give floors back to be lent to the next."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for gone in fleet.names[:4]:
+            for slot, holder in list(fleet.members.holders.items()):
+                if holder == gone:
+                    fleet.members.holders.pop(slot)
+            fleet.links.cut.add(gone)
+            await asyncio.sleep(10)
+        times = await _flood(fleet, fleet.names[-1], BURST)
+        assert len(times) >= BURST * 5 // 9 - 1
+        _check(times)
+
+    _run(scenario)
