Split the wiring of the daemon by concern and run it whole

One application module had 44 imports.

The caller stand-in kept connections that the daemon had said it would close, and so counted six requests as cut; it now honours Connection: close.

--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/limits.py
@@ -0,0 +1,89 @@
+"""Builds the parts that hold limits and decide about request ids."""
+
+import asyncio
+
+from geraniumshelf_core.allowance.claims import Claim
+from geraniumshelf_core.errors import PlatformError
+from geraniumshelf_core.lookup.answer import EntryInstance
+from geraniumshelf_daemon.allowances.service import AllowanceService
+from geraniumshelf_daemon.clock import current_time
+from geraniumshelf_daemon.idempotency.decider import RunDecider
+from geraniumshelf_daemon.idempotency.handover import RecordsKeeper
+from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.slots.claims import SlotClaims
+from geraniumshelf_daemon.wiring.control import ControlPlane
+from geraniumshelf_daemon.wiring.slots import SlotMembers
+
+
+class Limits:
+    """Slot claim, allowances and run records of one daemon."""
+
+    def __init__(self, control: ControlPlane) -> None:
+        hello = control.hello
+        self._control = control
+        self._claims = SlotClaims(
+            hello.zone,
+            Claim(
+                hello.instance, hello.peer_address, hello.incarnation, epoch=0
+            ),
+            current_time,
+            control.platform,
+            control.holder,
+        )
+        self._allowances = AllowanceService(
+            hello.instance,
+            current_time,
+            control.links,
+            control.holder,
+            SlotMembers(control.members),
+            self._claims,
+        )
+        self._decider = RunDecider(
+            hello.instance, control.links, control.entries, current_time
+        )
+        self._decider.issue(hello.instance, hello.incarnation)
+        self._keeper = RecordsKeeper(
+            hello.instance, control.links, self._decider, current_time
+        )
+
+    @property
+    def claims(self) -> SlotClaims:
+        """Return the slot claim."""
+        return self._claims
+
+    @property
+    def allowances(self) -> AllowanceService:
+        """Return the allowances of client accounts."""
+        return self._allowances
+
+    @property
+    def decider(self) -> RunDecider:
+        """Return what decides about request ids."""
+        return self._decider
+
+    async def run(self) -> None:
+        """Hold a slot and exchange allowances until cancelled."""
+        await asyncio.gather(self._claims.run(), self._allowances.run())
+
+    async def hand_over(self) -> None:
+        """Give records to a peer, loans to their lenders and the slot back."""
+        await self._keeper.hand_over(self._candidates())
+        self._allowances.release()
+        try:
+            await self._claims.release()
+        except PlatformError as error:
+            # The next incarnation at this address takes the claim over.
+            log_event(Event.PLATFORM_LOST, error.detail)
+
+    def _candidates(self) -> tuple[str, ...]:
+        linked = self._control.links.connected()
+        entries = [
+            entry
+            for entry in self._control.entries.entries()
+            if entry.instance in linked and not entry.is_leaving
+        ]
+        entries.sort(key=self._is_elsewhere)
+        return tuple(entry.instance for entry in entries)
+
+    def _is_elsewhere(self, entry: EntryInstance) -> bool:
+        return entry.zone != self._control.hello.zone
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
@@ -2,101 +2,77 @@
 
 import asyncio
 
-from attrs import frozen
-
-from geraniumshelf_core.dispatch.commands import record_report
-from geraniumshelf_core.dispatch.state import DispatchState
-from geraniumshelf_core.loads.state import LoadBook
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.configuration.model import Configuration
 from geraniumshelf_daemon.clock import current_time
-from geraniumshelf_daemon.lookups.interface import EntrySource
-from geraniumshelf_daemon.membership.members import Members
-from geraniumshelf_daemon.peers.interface import PeerNetwork
-from geraniumshelf_daemon.platform.interface import Platform
-from geraniumshelf_daemon.replication.interface import ConfigurationSource
+from geraniumshelf_daemon.lookups.service import LookupService
 from geraniumshelf_daemon.steering.collector import LoadCollector
 from geraniumshelf_daemon.steering.exchange import PlanExchange
 from geraniumshelf_daemon.steering.fetch import LoadFetcher
 from geraniumshelf_daemon.steering.interface import Identity
 from geraniumshelf_daemon.steering.plans import PlanService
 from geraniumshelf_daemon.steering.proposer import PlanProposer
-
-
-@frozen
-class Surroundings:
-    """What steering asks of the rest of the daemon.
-
-    Attributes:
-        identity: Who this daemon is.
-        configurations: The configuration in force.
-        entries: The live entry instances.
-        members: The members; they tell who watches the platform.
-        peers: Links to peers.
-        platform: The platform.
-    """
-
-    identity: Identity
-    configurations: ConfigurationSource
-    entries: EntrySource
-    members: Members
-    peers: PeerNetwork
-    platform: Platform
+from geraniumshelf_daemon.wiring.control import ControlPlane
 
 
 class Steering:
-    """Collects loads, follows plans and proposes steps."""
+    """Collects loads, follows plans, proposes steps, answers look-ups."""
 
-    def __init__(self, around: Surroundings, plans: PlanService) -> None:
+    def __init__(self, control: ControlPlane) -> None:
+        hello = control.hello
+        self._fetcher = LoadFetcher()
+        self._plans = PlanService()
         self._collector = LoadCollector(
-            around.identity,
-            around.configurations,
-            around.entries,
-            around.peers,
-            around.members,
-            LoadFetcher().fetch,
+            Identity(
+                hello.instance, hello.incarnation, hello.zone, hello.region
+            ),
+            control.holder,
+            control.entries,
+            control.links,
+            control.members,
+            self._fetcher.fetch,
             current_time,
         )
         self._exchange = PlanExchange(
-            plans,
-            around.peers,
-            around.platform,
-            around.members,
+            self._plans,
+            control.links,
+            control.platform,
+            control.members,
             current_time,
         )
         self._proposer = PlanProposer(
-            around.configurations,
+            control.holder,
             self._exchange,
             self._collector.book,
-            around.entries,
+            control.entries,
+        )
+        self._lookups = LookupService(
+            control.holder, self._plans, control.entries, hello.region
         )
         self._collector.register()
         self._exchange.register()
+        control.holder.subscribe(self._forget_servers)
 
     @property
     def collector(self) -> LoadCollector:
         """Return the loads and the meter of traffic."""
         return self._collector
 
+    @property
+    def plans(self) -> PlanService:
+        """Return the plans in force."""
+        return self._plans
+
+    @property
+    def lookups(self) -> LookupService:
+        """Return what answers look-ups."""
+        return self._lookups
+
     async def run(self) -> None:
         """Steer until cancelled."""
         await asyncio.gather(
             self._collector.run(), self._exchange.run(), self._proposer.run()
         )
 
-
-def copy_loads(book: LoadBook, state: DispatchState, now: Nanoseconds) -> None:
-    """Take reported loads over into the choice of backend servers.
-
-    Args:
-        book: Loads as reported.
-        state: What the choice knows of the servers.
-        now: Current time, nanoseconds.
-    """
-    for name, server in state.servers.items():
-        load = book.servers.get(name)
-        if load is None:
-            continue
-        if server.reported_at is None or load.measured_at > server.reported_at:
-            record_report(
-                server, load.in_flight, load.is_leaving, load.measured_at
-            )
+    def _forget_servers(self, configuration: Configuration) -> None:
+        addresses = (server.address for server in configuration.servers)
+        self._fetcher.keep_only(frozenset(addresses))
--- a/packages/standins/src/geraniumshelf_standins/caller/exchange.py
+++ b/packages/standins/src/geraniumshelf_standins/caller/exchange.py
@@ -80,7 +80,9 @@
     if not collector.is_whole or collector.start is None:
         stream.close()
         raise CutAnswer
-    if not stream.closed():
+    if collector.headers.get('Connection', '').lower() == 'close':
+        stream.close()
+    elif not stream.closed():
         connection.detach()
     return collector.answer()
 
