--- a/packages/core/src/geraniumshelf_core/membership/commands.py
+++ b/packages/core/src/geraniumshelf_core/membership/commands.py
@@ -109,6 +109,7 @@
     """Return the next heartbeat to send."""
     status = state.status
     status.sequence += 1
+    state.told_contact_at = state.contact_at
     return Heartbeat(
         state.own.incarnation,
         status.sequence,
--- a/packages/core/src/geraniumshelf_core/membership/queries.py
+++ b/packages/core/src/geraniumshelf_core/membership/queries.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from geraniumshelf_core.membership.state import (
+    CONTACT_STEP,
     SILENCE_LIMIT,
     HeardPeer,
     Member,
@@ -132,6 +133,19 @@
     return -((state.contact_at - now) // MILLISECOND_NS)
 
 
+def is_contact_news(state: MembershipState, now: Nanoseconds) -> bool:
+    """Tell whether peers should hear of the last contact at once.
+
+    In a tree, waiting for the next heartbeat at each level would add up to
+    more than the time after which a zone counts as cut off.
+    """
+    if state.contact_at is None or is_full_mesh(known_zones(state, now)):
+        return False
+    if state.told_contact_at is None:
+        return True
+    return state.contact_at - state.told_contact_at >= CONTACT_STEP
+
+
 def member_list(state: MembershipState, now: Nanoseconds) -> MemberList | None:
     """Return the newest instance list for peers, ``None`` without one."""
     if state.listed_at is None:
--- a/packages/core/src/geraniumshelf_core/membership/state.py
+++ b/packages/core/src/geraniumshelf_core/membership/state.py
@@ -9,6 +9,10 @@
 
 SILENCE_LIMIT: Final[Nanoseconds] = 3 * SECOND_NS
 
+# A contact that is newer by this much is told at once in a tree; it bounds
+# the heartbeats to two a second.
+CONTACT_STEP: Final[Nanoseconds] = SECOND_NS // 2
+
 
 @frozen
 class ListedMember:
@@ -90,6 +94,7 @@
         heard: Peers by name.
         contact_at: When this daemon, or one of its zone, last had contact
             with the platform or another zone.
+        told_contact_at: The contact that the last heartbeat told of.
         started_at: When this daemon started; its links come up for a while.
     """
 
@@ -99,4 +104,5 @@
     listed_at: Nanoseconds | None = None
     heard: dict[str, HeardPeer] = Factory(dict)
     contact_at: Nanoseconds | None = None
+    told_contact_at: Nanoseconds | None = None
     started_at: Nanoseconds | None = None
--- a/packages/daemon/src/geraniumshelf_daemon/membership/members.py
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/members.py
@@ -26,6 +26,7 @@
         self.state = MembershipState(own, started_at=current_time())
         self._revision = revision
         self._listeners: list[Callable[[str, Heartbeat], None]] = []
+        self._relays: list[Callable[[], None]] = []
 
     @property
     def status(self) -> OwnStatus:
@@ -42,6 +43,10 @@
         """Call a listener with each heartbeat and the sender's name."""
         self._listeners.append(listener)
 
+    def subscribe_contact(self, relay: Callable[[], None]) -> None:
+        """Call a relay when peers should get a heartbeat at once."""
+        self._relays.append(relay)
+
     def take_heartbeat(
         self, peer: str, heartbeat: Heartbeat, now: Nanoseconds
     ) -> None:
@@ -49,10 +54,12 @@
         if commands.note_heartbeat(self.state, peer, heartbeat, now):
             for listener in self._listeners:
                 listener(peer, heartbeat)
+            self._relay_contact(now)
 
     def note_contact(self, at: Nanoseconds) -> None:
         """Take in that the platform was reached at a time."""
         commands.note_contact(self.state, at)
+        self._relay_contact(current_time())
 
     def live(self, now: Nanoseconds) -> tuple[Member, ...]:
         """Return this daemon and all live peers, by name."""
@@ -76,3 +83,8 @@
         """Tell whether this daemon watches the platform for its zone."""
         watchers = queries.zone_watchers(self.state, now)
         return self.state.own.instance in watchers
+
+    def _relay_contact(self, now: Nanoseconds) -> None:
+        if queries.is_contact_news(self.state, now):
+            for relay in self._relays:
+                relay()
--- a/packages/daemon/src/geraniumshelf_daemon/membership/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/service.py
@@ -50,6 +50,7 @@
         self._seeds = frozenset(seeds)
         self._tasks: tuple[asyncio.Task[None], ...] = ()
         self._was_cut_off = True
+        members.subscribe_contact(links.beat_soon)
         links.subscribe(self._on_link)
         links.register(Heartbeat, self._on_heartbeat)
         links.register(MemberList, self._on_member_list)
--- a/packages/daemon/src/geraniumshelf_daemon/peers/links.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from functools import partial
 from typing import Any, Final
 
@@ -67,6 +68,7 @@
             partial(self._run_link, is_dialer=True),
             source_address,
         )
+        self._hurry = asyncio.Event()
         self._handlers: dict[type, Handler] = {}
         self._listeners: list[Callable[[Hello], None]] = []
         self._beats: asyncio.Task[None] | None = None
@@ -135,9 +137,16 @@
         """Keep links to these peer addresses and dial no others."""
         self._dialer.set_targets(set(addresses) - {self._own.peer_address})
 
+    def beat_soon(self) -> None:
+        """Send the next heartbeat now instead of at its time."""
+        self._hurry.set()
+
     async def _beat(self) -> None:
         while True:
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+                    await self._hurry.wait()
+            self._hurry.clear()
             heartbeat = self._heartbeat()
             for link in self._table.links():
                 link.send(heartbeat)
--- a/tests/core/membership/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -14,6 +14,7 @@
     replace_listed,
 )
 from geraniumshelf_core.membership.queries import (
+    is_contact_news,
     is_cut_off,
     link_targets,
     live_members,
@@ -121,6 +122,27 @@
     assert sum(watching) == min(2, max(0, count - silent))
 
 
+@given(st.integers(1, 40), st.lists(st.integers(0, 900), max_size=20))
+def test_contact_is_told_at_once_in_a_tree_only(
+    count: int, steps_ms: list[int]
+) -> None:
+    """Waiting at each level of a tree would cut off its lower levels."""
+    state = MembershipState(_hello('i0'))
+    names = [f'i{number}' for number in range(count)]
+    replace_listed(state, [ListedMember(n, 'a', n, False) for n in names], 0)
+    now, beats = 0, 0
+    for step_ms in steps_ms:
+        now += step_ms * 1_000_000
+        note_contact(state, now)
+        if is_contact_news(state, now):
+            beats += 1
+            next_heartbeat(state, 0, now)
+        elif count > 16:
+            assert now - (state.told_contact_at or 0) < SECOND_NS // 2
+    limit = 1 + 2 * now // SECOND_NS
+    assert beats <= (limit if count > 16 else 0)
+
+
 def test_older_or_malformed_list_changes_nothing() -> None:
     """A slow peer must not bring back an instance that is gone."""
     state = MembershipState(_hello('own'))
