Close the port before the last requests of a drain

A steady flow of new connections would have put off the end of a drain, and a key was accepted until its own index had the revision. make check passes.

--- a/packages/daemon/src/geraniumshelf_daemon/front/admission.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/admission.py
@@ -120,7 +120,10 @@
             )
         key = self._keys.find(secret)
         account = table.accounts.get(key.account) if key else None
-        if key is None or account is None:
+        # The revision is checked as well, so that a withdrawal holds from
+        # the moment it ends the running requests.
+        is_known = key is not None and key.digest in table.keys
+        if key is None or account is None or not is_known:
             raise RequestRefused(
                 ResultCode.KEY_UNKNOWN, 'no client account has this key'
             )
--- a/packages/daemon/src/geraniumshelf_daemon/front/front.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/front.py
@@ -12,8 +12,8 @@
 from geraniumshelf_daemon.upstream.dispatcher import Dispatcher
 from geraniumshelf_daemon.upstream.links import LinkPacer
 
-# Requests that reached the socket before it closes are still accepted.
-_LAST_ACCEPT_S: Final = 0.05
+# Time for requests that are already in the sockets' buffers to be read.
+_LAST_READ_S: Final = 0.05
 
 
 class Front:
@@ -65,9 +65,18 @@
         self._server.stop_keep_alive()
 
     async def drain(self, now: Nanoseconds) -> None:
-        """Stop keep-alive, finish all requests, then close the port."""
+        """Stop keep-alive, close the port, and finish all requests.
+
+        The port is closed first: a steady flow of new connections would
+        otherwise put off the end for ever.
+
+        Args:
+            now: Current time; nothing is decided by it yet.
+        """
         self.leave()
+        await asyncio.sleep(_LAST_READ_S)
+        self._server.stop_accepting()
         await self._pipeline.running.wait_empty()
-        await asyncio.sleep(_LAST_ACCEPT_S)
+        await asyncio.sleep(_LAST_READ_S)
         await self._pipeline.running.wait_empty()
         await self._server.close()
--- a/packages/daemon/src/geraniumshelf_daemon/front/server.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/server.py
@@ -55,6 +55,10 @@
         """Ask callers to close their connections after the next answer."""
         self._delegate.is_leaving = True
 
+    def stop_accepting(self) -> None:
+        """Close the port; connections stay open."""
+        self._http.stop()
+
     async def close(self) -> None:
         """Close the port and all connections, also those with requests."""
         self._http.stop()
