--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/front/assembly.py
@@ -0,0 +1,105 @@
+"""Builds the data path out of the other parts of the daemon."""
+
+from collections.abc import Callable
+from random import Random
+
+from attrs import field, frozen
+
+from geraniumshelf_core.dispatch.queries import SlotLimit, whole_slots
+from geraniumshelf_core.dispatch.state import Place
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+from geraniumshelf_daemon.front.admission import Gate
+from geraniumshelf_daemon.front.forwarding import Forwarder
+from geraniumshelf_daemon.front.front import Front
+from geraniumshelf_daemon.front.interface import (
+    AllowanceSource,
+    CutOffSource,
+    FailoverSource,
+    KeySource,
+    LookupSource,
+)
+from geraniumshelf_daemon.front.pipeline import Pipeline, Sources
+from geraniumshelf_daemon.idempotency.decider import RunDecider
+from geraniumshelf_daemon.upstream.dispatcher import Dispatcher
+from geraniumshelf_daemon.upstream.links import LinkPacer, whole_link
+from geraniumshelf_daemon.upstream.load import LoadPoller
+from geraniumshelf_daemon.upstream.pool import ConnectionPool
+
+
+@frozen
+class Surroundings:
+    """What the data path needs from the rest of the daemon.
+
+    Attributes:
+        place: Where the daemon runs.
+        slot_limit: Returns the requests of this daemon that a backend server
+            may run at once.
+        link_share: Returns this daemon's share of the links between regions,
+            parts per million.
+        idle_limit: Idle connections kept for each backend server.
+        connect_timeout: Time for opening a connection, nanoseconds.
+        poll_interval: Time between two load reports, nanoseconds.
+    """
+
+    place: Place
+    lookups: LookupSource
+    allowances: AllowanceSource
+    keys: KeySource
+    cut_off: CutOffSource
+    failover: FailoverSource
+    decider: RunDecider
+    clock: Callable[[], Nanoseconds]
+    random: Random = field(factory=Random)
+    slot_limit: SlotLimit = whole_slots
+    link_share: Callable[[], int] = whole_link
+    idle_limit: int = 8
+    connect_timeout: Nanoseconds = SECOND_NS
+    poll_interval: Nanoseconds = SECOND_NS
+
+
+@frozen
+class DataPath:
+    """The running parts of the data path.
+
+    Attributes:
+        front: Serves callers.
+        dispatcher: Knows the backend servers.
+        poller: Its ``run`` must run as a task.
+        pool: Idle connections, to be closed at the end.
+    """
+
+    front: Front
+    dispatcher: Dispatcher
+    poller: LoadPoller
+    pool: ConnectionPool
+
+
+def build_data_path(around: Surroundings) -> DataPath:
+    """Build the data path; the front listens when it is told to."""
+    clock = around.clock
+    gate = Gate(around.keys, around.cut_off, clock)
+    dispatcher = Dispatcher(
+        around.place,
+        around.failover,
+        clock,
+        around.random,
+        around.slot_limit,
+    )
+    pool = ConnectionPool(around.idle_limit, around.connect_timeout)
+    pacer = LinkPacer(around.place.region, clock, around.link_share)
+    pipeline = Pipeline(
+        Sources(
+            gate,
+            around.lookups,
+            around.allowances,
+            around.decider,
+            Forwarder(dispatcher, pool, pacer, clock),
+            clock,
+        )
+    )
+    return DataPath(
+        Front(pipeline, gate, dispatcher, pacer),
+        dispatcher,
+        LoadPoller(dispatcher, pool, around.poll_interval),
+        pool,
+    )
--- a/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from traceback import format_tb
 from typing import Final
 from urllib.parse import parse_qs
 
 from attrs import frozen
-from loguru import logger
 from tornado.httputil import HTTPHeaders
 
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
@@ -83,9 +83,8 @@
         except OSError:
             log_event(Event.REQUEST_CUT)
             caller.reply.abort()
-        except Exception:
-            logger.exception('request failed')
-            log_event(Event.TASK_FAILED, 'request')
+        except Exception as error:
+            _log_fault(error)
             await _refuse(caller, _internal_fault(running))
         finally:
             self._running.remove(running)
@@ -235,6 +234,13 @@
         caller.reply.abort()
 
 
+def _log_fault(error: Exception) -> None:
+    # The log's own traceback shows values of variables, among them keys, and
+    # the text of an error may quote a header.
+    lines = ''.join(format_tb(error.__traceback__))
+    log_event(Event.TASK_FAILED, f'{type(error).__name__}\n{lines}')
+
+
 def _internal_fault(running: RunningRequest) -> RequestRefused:
     return RequestRefused(
         ResultCode.INTERNAL_FAULT,
--- a/tests/daemon/front/test_refusals.py
+++ b/tests/daemon/front/test_refusals.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+from loguru import logger
 from tests.daemon.front.harness import (
     KEY,
     OTHER_KEY,
@@ -239,6 +240,24 @@
     run(scenario)
 
 
+def test_internal_fault_is_told_without_the_key_in_the_log() -> None:
+    """Tracebacks with values would put keys into the log."""
+
+    async def scenario() -> None:
+        async with world() as w:
+            w.settings.rate_refusal = ValueError(KEY)
+            answer = await w.ask('POST', '/desk/sale')
+            assert answer.code == ResultCode.INTERNAL_FAULT
+            assert answer.ran == 'not-run'
+
+    lines: list[str] = []
+    sink = logger.add(lines.append, diagnose=True, backtrace=True)
+    run(scenario)
+    logger.remove(sink)
+    assert any('TASK_FAILED' in line for line in lines)
+    assert not any(KEY in line for line in lines)
+
+
 async def _read_all(caller: Connection) -> bytes:
     try:
         return await caller.reader.read(-1)
