--- a/packages/daemon/src/geraniumshelf_daemon/idempotency/handover.py
+++ b/packages/daemon/src/geraniumshelf_daemon/idempotency/handover.py
@@ -97,7 +97,7 @@
             except PeerError as error:
                 is_sent |= error.code is not ResultCode.PEER_UNREACHABLE
                 continue
-            return True, isinstance(answer, HandoverAccepted)
+            return True, _is_accepted(message, answer)
         return is_sent, False
 
     def _messages(self, issuer: Issuer) -> list[RecordsHandover]:
@@ -127,19 +127,27 @@
         self, instance: str, message: RecordsHandover
     ) -> HandoverAccepted:
         issuer = (message.slot, message.incarnation)
-        arriving = self._arriving.setdefault(issuer, {})
-        arriving[message.part] = message.rows
-        is_complete = len(arriving) == message.parts
-        if is_complete:
-            # Records that are missing would let their requests run again.
-            rows = [row for part in arriving.values() for row in part]
-            adopt(
-                self._decider.table,
-                issuer,
-                message.window,
-                rows,
-                self._clock(),
-            )
-            self._announce(issuer, self._instance)
-            log_event(Event.RECORDS_RECEIVED, instance)
-        return HandoverAccepted(*issuer, is_complete)
+        issuers = self._decider.table.issuers
+        # A repeated part must not take back an issuer that has moved on.
+        if issuer not in issuers:
+            arriving = self._arriving.setdefault(issuer, {})
+            arriving[message.part] = message.rows
+            # Missing records would let their requests run again.
+            if len(arriving) == message.parts:
+                self._adopt(issuer, message.window)
+                log_event(Event.RECORDS_RECEIVED, instance)
+        return HandoverAccepted(*issuer, issuer in issuers)
+
+    def _adopt(self, issuer: Issuer, window: int) -> None:
+        parts = self._arriving.pop(issuer)
+        rows = [row for part in parts.values() for row in part]
+        adopt(self._decider.table, issuer, window, rows, self._clock())
+        self._announce(issuer, self._instance)
+
+
+def _is_accepted(message: RecordsHandover, answer: object) -> bool:
+    if not isinstance(answer, HandoverAccepted):
+        return False
+    # A peer that restarted between two parts has lost the first ones.
+    is_last = message.part + 1 == message.parts
+    return answer.is_complete or not is_last
