--- a/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
@@ -227,7 +227,9 @@
     if refusal is None or caller.reply.has_begun:
         caller.reply.abort()
         return
-    log_event(Event.REQUEST_REFUSED, refusal.code.name)
+    # A flood of requests that never ran must not flood the log as well.
+    if refusal.ran is not Ran.NOT_RUN:
+        log_event(Event.REQUEST_REFUSED, refusal.code.name)
     try:
         await caller.reply.refuse(refusal)
     except OSError:
