Feed demand, arrivals and portions into steering and dispatch

Requests are metered by source region, so that plans can step; failover allowances count arrivals; a daemon uses an equal part of a backend server's slots, or what a fresh report says the others leave free; links are shared by the daemons of a region.

--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -21,7 +21,7 @@
 from geraniumshelf_daemon.observability.timeline import TimelineBuffer
 from geraniumshelf_daemon.settings import Settings
 from geraniumshelf_daemon.wiring.control import build_control
-from geraniumshelf_daemon.wiring.data_path import DataPath
+from geraniumshelf_daemon.wiring.data_path import copy_loads, wire_data_path
 from geraniumshelf_daemon.wiring.limits import Limits
 from geraniumshelf_daemon.wiring.steering import Steering
 
@@ -45,7 +45,9 @@
         self._control = build_control(settings, hello, clock)
         self._limits = Limits(self._control)
         self._steering = Steering(self._control)
-        self._data_path = DataPath(self._control, self._limits, self._steering)
+        self._data_path = wire_data_path(
+            self._control, self._limits, self._steering
+        )
         self._operators = OperatorServer(
             OperatorCalls(self.status, self._timeline_rows, self._drain)
         )
@@ -88,6 +90,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._data_path.pool.close()
         await self._control.stop()
         await self._operators.close()
         log_event(Event.DAEMON_STOPPED)
@@ -120,7 +123,9 @@
             status.window = current_window(now)
             status.slot = self._limits.claims.slot
             self._control.entries.refresh(now)
-            self._data_path.refresh()
+            copy_loads(
+                self._steering.collector.book, self._data_path.dispatcher.state
+            )
             await asyncio.sleep(_TICK_S)
 
     async def _drain(self) -> dict[str, Any]:
--- a/packages/daemon/src/geraniumshelf_daemon/front/assembly.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/assembly.py
@@ -17,12 +17,12 @@
     FailoverSource,
     KeySource,
     LookupSource,
+    TrafficMeter,
 )
 from geraniumshelf_daemon.front.pipeline import Pipeline, Sources
 from geraniumshelf_daemon.idempotency.decider import RunDecider
 from geraniumshelf_daemon.upstream.dispatcher import Dispatcher
 from geraniumshelf_daemon.upstream.links import LinkPacer, whole_link
-from geraniumshelf_daemon.upstream.load import LoadPoller
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 
 
@@ -38,7 +38,6 @@
             parts per million.
         idle_limit: Idle connections kept for each backend server.
         connect_timeout: Time for opening a connection, nanoseconds.
-        poll_interval: Time between two load reports, nanoseconds.
     """
 
     place: Place
@@ -48,13 +47,13 @@
     cut_off: CutOffSource
     failover: FailoverSource
     decider: RunDecider
+    meter: TrafficMeter
     clock: Callable[[], Nanoseconds]
     random: Random = field(factory=Random)
     slot_limit: SlotLimit = whole_slots
     link_share: Callable[[], int] = whole_link
     idle_limit: int = 8
     connect_timeout: Nanoseconds = SECOND_NS
-    poll_interval: Nanoseconds = SECOND_NS
 
 
 @frozen
@@ -64,13 +63,11 @@
     Attributes:
         front: Serves callers.
         dispatcher: Knows the backend servers.
-        poller: Its ``run`` must run as a task.
         pool: Idle connections, to be closed at the end.
     """
 
     front: Front
     dispatcher: Dispatcher
-    poller: LoadPoller
     pool: ConnectionPool
 
 
@@ -93,6 +90,7 @@
             around.lookups,
             around.allowances,
             around.decider,
+            around.meter,
             Forwarder(dispatcher, pool, pacer, clock),
             clock,
         )
@@ -100,6 +98,5 @@
     return DataPath(
         Front(pipeline, gate, dispatcher, pacer),
         dispatcher,
-        LoadPoller(dispatcher, pool, around.poll_interval),
         pool,
     )
--- a/packages/daemon/src/geraniumshelf_daemon/front/interface.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/interface.py
@@ -45,9 +45,22 @@
         """Return whether no withdrawal can reach this daemon."""
 
 
+class TrafficMeter(Protocol):
+    """Measures the traffic that plans are made for."""
+
+    def enter(self, service: str, client: str, now: Nanoseconds) -> None:
+        """Count a request that arrived from a client address."""
+
+    def leave(self, service: str, client: str, now: Nanoseconds) -> None:
+        """Count the end of a request."""
+
+
 class FailoverSource(Protocol):
     """Holds the plan's allowances towards other regions."""
 
+    def arrive(self, service: str, now: Nanoseconds) -> None:
+        """Count a request that arrived at this daemon."""
+
     def regions(self, service: str, now: Nanoseconds) -> tuple[str, ...]:
         """Return other regions that may serve a request now, best first."""
 
--- a/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
@@ -29,6 +29,7 @@
 from geraniumshelf_daemon.front.interface import (
     AllowanceSource,
     LookupSource,
+    TrafficMeter,
 )
 from geraniumshelf_daemon.front.running import (
     RunningRequest,
@@ -51,6 +52,7 @@
         lookups: Tells callers which entry instance to use.
         allowances: Holds rates and bursts.
         decider: Decides whether a request id may run.
+        meter: Measures traffic by source region.
         forwarder: Runs requests on backend servers.
         clock: Returns the current time, nanoseconds.
     """
@@ -59,6 +61,7 @@
     lookups: LookupSource
     allowances: AllowanceSource
     decider: RunDecider
+    meter: TrafficMeter
     forwarder: Forwarder
     clock: Callable[[], Nanoseconds]
 
@@ -162,7 +165,13 @@
             await self._sources.allowances.acquire(
                 order.account, order.give_up_at
             )
-        return await self._sources.forwarder.run(caller, order, running)
+        service, client = order.service.name, caller.address
+        meter, clock = self._sources.meter, self._sources.clock
+        meter.enter(service, client, clock())
+        try:
+            return await self._sources.forwarder.run(caller, order, running)
+        finally:
+            meter.leave(service, client, clock())
 
     def _report(
         self, grant: Grant, outcome: RunOutcome, running: RunningRequest
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/dispatcher.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/dispatcher.py
@@ -114,6 +114,7 @@
                 ``OVERLOADED`` if none has a slot in time.
         """
         earn_retries(self._budget)
+        self._failover.arrive(need.service, self._clock())
         need = self._check_servers(need)
         queue = self._queues.setdefault(need.service, WaitQueue(_QUEUE_LIMIT))
         if next_ticket(queue) is None:
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/data_path.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/data_path.py
@@ -3,70 +3,121 @@
 from random import Random
 from typing import Final
 
+from attrs import frozen
+
 from geraniumshelf_core.dispatch.commands import record_report
-from geraniumshelf_core.dispatch.state import DispatchState, Place
+from geraniumshelf_core.dispatch.state import (
+    DispatchState,
+    Place,
+    ServerState,
+)
 from geraniumshelf_core.loads.state import LoadBook
-from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_core.units import (
+    PARTS_PER_MILLION,
+    SECOND_NS,
+    Nanoseconds,
+)
 from geraniumshelf_daemon.clock import current_time
 from geraniumshelf_daemon.failover.budget import FailoverBudget
-from geraniumshelf_daemon.front.admission import Gate
-from geraniumshelf_daemon.front.forwarding import Forwarder
-from geraniumshelf_daemon.front.front import Front
-from geraniumshelf_daemon.front.pipeline import Pipeline, Sources
-from geraniumshelf_daemon.upstream.dispatcher import Dispatcher
-from geraniumshelf_daemon.upstream.links import LinkPacer
-from geraniumshelf_daemon.upstream.pool import ConnectionPool
+from geraniumshelf_daemon.front.assembly import (
+    DataPath,
+    Surroundings,
+    build_data_path,
+)
+from geraniumshelf_daemon.lookups.interface import EntrySource
+from geraniumshelf_daemon.lookups.service import LookupService
+from geraniumshelf_daemon.steering.demand import DemandMeter
 from geraniumshelf_daemon.wiring.control import ControlPlane
 from geraniumshelf_daemon.wiring.keys import KeyTable
 from geraniumshelf_daemon.wiring.limits import Limits
 from geraniumshelf_daemon.wiring.steering import Steering
 
-_IDLE_CONNECTIONS: Final = 32
+# A report older than this says nothing about the slots that are free now.
+_FRESH_REPORT: Final[Nanoseconds] = 2 * SECOND_NS
 
 
-class DataPath:
-    """Serves callers and knows the backend servers."""
+@frozen
+class SourceMeter:
+    """Implements ``TrafficMeter``: counts requests by their source region."""
 
-    def __init__(
-        self, control: ControlPlane, limits: Limits, steering: Steering
-    ) -> None:
-        hello = control.hello
-        self._steering = steering
-        keys = KeyTable()
-        control.holder.subscribe(keys.apply)
-        gate = Gate(keys, control.members, current_time)
-        pacer = LinkPacer(hello.region, current_time)
-        self._dispatcher = Dispatcher(
-            Place(hello.zone, hello.region),
-            FailoverBudget(steering.plans, hello.region),
-            current_time,
-            Random(hello.incarnation),
+    _lookups: LookupService
+    _meter: DemandMeter
+
+    def enter(self, service: str, client: str, now: Nanoseconds) -> None:
+        """Count a request that arrived from a client address."""
+        self._meter.enter(service, self._lookups.region_of(client), now)
+
+    def leave(self, service: str, client: str, now: Nanoseconds) -> None:
+        """Count the end of a request."""
+        self._meter.leave(service, self._lookups.region_of(client), now)
+
+
+@frozen
+class Portions:
+    """This daemon's portion of what daemons use together."""
+
+    _entries: EntrySource
+    _place: Place
+
+    def slots(self, server: ServerState) -> int:
+        """Return how many slots of a server this daemon may use.
+
+        It is an equal part for each daemon near the server, or what the
+        others leave free by a fresh report if that is more.
+        """
+        whole = server.server.slots
+        equal = -(-whole // max(1, self._count_near(server)))
+        if server.reported_at is None:
+            return equal
+        if current_time() - server.reported_at > _FRESH_REPORT:
+            return equal
+        return max(equal, whole - server.others)
+
+    def links(self) -> int:
+        """Return the share of the region's links, parts per million."""
+        count = sum(
+            entry.region == self._place.region
+            for entry in self._entries.entries()
         )
-        forwarder = Forwarder(
-            self._dispatcher,
-            ConnectionPool(_IDLE_CONNECTIONS, SECOND_NS),
-            pacer,
-            current_time,
+        return PARTS_PER_MILLION // max(1, count)
+
+    def _count_near(self, server: ServerState) -> int:
+        is_own_zone = server.server.zone == self._place.zone
+        return sum(
+            entry.zone == self._place.zone
+            if is_own_zone
+            else entry.region == server.region
+            for entry in self._entries.entries()
         )
-        sources = Sources(
-            gate,
+
+
+def wire_data_path(
+    control: ControlPlane, limits: Limits, steering: Steering
+) -> DataPath:
+    """Return the data path, which follows the configuration in force."""
+    hello = control.hello
+    keys = KeyTable()
+    control.holder.subscribe(keys.apply)
+    place = Place(hello.zone, hello.region)
+    portions = Portions(control.entries, place)
+    data_path = build_data_path(
+        Surroundings(
+            place,
             steering.lookups,
             limits.allowances,
+            keys,
+            control.members,
+            FailoverBudget(steering.plans, hello.region),
             limits.decider,
-            forwarder,
+            SourceMeter(steering.lookups, steering.collector.meter),
             current_time,
+            Random(hello.incarnation),
+            portions.slots,
+            portions.links,
         )
-        self._front = Front(Pipeline(sources), gate, self._dispatcher, pacer)
-        self._front.follow(control.holder)
-
-    @property
-    def front(self) -> Front:
-        """Return the server for callers."""
-        return self._front
-
-    def refresh(self) -> None:
-        """Take reported loads over into the choice of backend servers."""
-        copy_loads(self._steering.collector.book, self._dispatcher.state)
+    )
+    data_path.front.follow(control.holder)
+    return data_path
 
 
 def copy_loads(book: LoadBook, state: DispatchState) -> None:
@@ -74,7 +125,7 @@
 
     Args:
         book: Loads as reported.
-        state: What the choice knows of the servers.
+        state: What the choice of backend servers knows.
     """
     for name, server in state.servers.items():
         load = book.servers.get(name)
--- a/tests/daemon/front/harness.py
+++ b/tests/daemon/front/harness.py
@@ -93,6 +93,15 @@
     def count(self, service: str, region: str, now: Nanoseconds) -> None:
         pass
 
+    def arrive(self, service: str, now: Nanoseconds) -> None:
+        pass
+
+    def enter(self, service: str, client: str, now: Nanoseconds) -> None:
+        pass
+
+    def leave(self, service: str, client: str, now: Nanoseconds) -> None:
+        pass
+
 
 @frozen
 class Answer:
@@ -256,7 +265,9 @@
     decider.issue('a1/0', 7)
     place, random = Place('a1', 'a'), Random(1)
     path = build_data_path(
-        Surroundings(place, *(settings,) * 5, decider, current_time, random)
+        Surroundings(
+            place, *(settings,) * 5, decider, settings, current_time, random
+        )
     )
     front, pool, dispatcher = path.front, path.pool, path.dispatcher
     front.apply(revision)
--- a/tests/daemon/front/test_operators.py
+++ b/tests/daemon/front/test_operators.py
@@ -1,17 +1,12 @@
-"""Guards the operators' address and the polling of loads."""
+"""Guards the operators' address."""
 
-import asyncio
 import json
 
-from tests.daemon.front.harness import run, until, world
+from tests.daemon.front.harness import run
 from tornado.httpclient import AsyncHTTPClient
 
 from geraniumshelf_core.errors import OperatorError, ResultCode
-from geraniumshelf_core.units import SECOND_NS
 from geraniumshelf_daemon.front.operators import OperatorCalls, OperatorServer
-from geraniumshelf_daemon.upstream.load import LoadPoller
-from geraniumshelf_daemon.upstream.pool import ConnectionPool
-from geraniumshelf_standins.backend.state import LoadLie
 
 
 def test_operators_read_status_and_begin_a_drain() -> None:
@@ -39,30 +34,3 @@
         await server.close()
 
     run(scenario)
-
-
-def test_polling_finds_leaving_servers_and_survives_lies() -> None:
-    """Guarantee 10; a server that lies or is gone stops no report."""
-
-    async def scenario() -> None:
-        async with world(servers=3, extra_ports=(1,)) as w:
-            pool = ConnectionPool(1, SECOND_NS)
-            poller = LoadPoller(w.dispatcher, pool, SECOND_NS // 5)
-            polling = asyncio.ensure_future(poller.run())
-            states = w.dispatcher.state.servers
-            w.servers[0].backend.in_flight = 1
-            w.servers[0].backend.loads.append((0, 1))
-            w.fault(1, drain=True)
-            w.fault(2, load_lie=LoadLie.IDLE)
-            w.servers[2].backend.loads.append((0, 9))
-            await until(lambda: states['s1'].is_leaving)
-            await until(lambda: states['s0'].others == 1)
-            assert states['s2'].others == 0
-            assert states['s3'].reported_at is None
-            w.fault(1, drain=False)
-            await until(lambda: not states['s1'].is_leaving)
-            assert states['s1'].available_since is not None
-            polling.cancel()
-            pool.close()
-
-    run(scenario)
--- /dev/null
+++ b/tests/daemon/wiring/test_data_path.py
@@ -0,0 +1,51 @@
+"""Guards the way of load reports into the choice of backend servers."""
+
+from tests.daemon.front.harness import World, run, world
+
+from geraniumshelf_core.loads.commands import record_loads
+from geraniumshelf_core.loads.state import LoadBook
+from geraniumshelf_core.messages.steering import LoadReport
+from geraniumshelf_daemon.clock import current_time
+from geraniumshelf_daemon.steering.fetch import LoadFetcher
+from geraniumshelf_daemon.wiring.data_path import copy_loads
+from geraniumshelf_standins.backend.state import LoadLie
+
+
+async def _poll(w: World, book: LoadBook, sequence: int) -> None:
+    fetcher = LoadFetcher()
+    rows = []
+    for name, state in w.dispatcher.state.servers.items():
+        answer = await fetcher.fetch(state.server.address)
+        if answer is not None:
+            counts = answer.in_flight, answer.slots, int(answer.is_leaving)
+            rows.append((name, *counts))
+    record_loads(
+        book, LoadReport('a#1', sequence, 0, 0, tuple(rows)), current_time()
+    )
+    copy_loads(book, w.dispatcher.state)
+    fetcher.keep_only(frozenset())
+
+
+def test_reports_find_leaving_servers_and_survive_lies() -> None:
+    """Guarantee 10; a server that lies or is gone stops no report."""
+
+    async def scenario() -> None:
+        async with world(servers=3, extra_ports=(1,)) as w:
+            book = LoadBook()
+            states = w.dispatcher.state.servers
+            w.servers[0].backend.in_flight = 1
+            w.servers[0].backend.loads.append((0, 1))
+            w.fault(1, drain=True)
+            w.fault(2, load_lie=LoadLie.IDLE)
+            w.servers[2].backend.loads.append((0, 9))
+            await _poll(w, book, 1)
+            assert states['s1'].is_leaving
+            assert states['s0'].others == 1
+            assert states['s2'].others == 0
+            assert states['s3'].reported_at is None
+            w.fault(1, drain=False)
+            await _poll(w, book, 2)
+            assert not states['s1'].is_leaving
+            assert states['s1'].available_since is not None
+
+    run(scenario)
