--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -18,10 +18,15 @@
     install_recorder,
     log_event,
 )
+from geraniumshelf_daemon.observability.metrics import (
+    Metrics,
+    install_metrics,
+)
 from geraniumshelf_daemon.observability.timeline import TimelineBuffer
 from geraniumshelf_daemon.settings import Settings
 from geraniumshelf_daemon.wiring.control import build_control
 from geraniumshelf_daemon.wiring.data_path import copy_loads, wire_data_path
+from geraniumshelf_daemon.wiring.gauges import set_gauges
 from geraniumshelf_daemon.wiring.limits import Limits
 from geraniumshelf_daemon.wiring.steering import Steering
 
@@ -42,6 +47,10 @@
         clock = LogicalClock()
         self._timeline = TimelineBuffer(hello.instance, clock)
         install_recorder(self._timeline)
+        self._metrics = Metrics(
+            str(settings.statsd_address or ''), settings.instance
+        )
+        install_metrics(self._metrics)
         self._control = build_control(settings, hello, clock)
         self._limits = Limits(self._control)
         self._steering = Steering(self._control)
@@ -93,6 +102,7 @@
         self._data_path.pool.close()
         await self._control.stop()
         await self._operators.close()
+        self._metrics.close()
         log_event(Event.DAEMON_STOPPED)
 
     def status(self) -> dict[str, Any]:
@@ -126,6 +136,7 @@
             copy_loads(
                 self._steering.collector.book, self._data_path.dispatcher.state
             )
+            set_gauges(self._control, self._data_path, now)
             await asyncio.sleep(_TICK_S)
 
     async def _drain(self) -> dict[str, Any]:
--- a/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
@@ -37,6 +37,8 @@
 )
 from geraniumshelf_daemon.idempotency.decider import Grant, RunDecider
 from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric, time_metric
 
 LOOKUP_PATH: Final = '/v1/lookup'
 
@@ -81,6 +83,7 @@
     async def serve(self, caller: Caller) -> None:
         """Serve a request; every way out leaves a truthful answer."""
         running = self._running.add()
+        started = self._sources.clock()
         try:
             await self._serve_truthfully(caller, running)
         except OSError:
@@ -91,6 +94,15 @@
             await _refuse(caller, _internal_fault(running))
         finally:
             self._running.remove(running)
+            self._measure(caller, self._sources.clock() - started)
+
+    def _measure(self, caller: Caller, duration: Nanoseconds) -> None:
+        if caller.target.startswith(LOOKUP_PATH):
+            count_metric(Metric.LOOKUPS)
+            time_metric(Metric.LOOKUP_TIME, duration)
+        else:
+            count_metric(Metric.REQUESTS)
+            time_metric(Metric.REQUEST_TIME, duration)
 
     async def _serve_truthfully(
         self, caller: Caller, running: RunningRequest
@@ -239,6 +251,7 @@
     # A flood of requests that never ran must not flood the log as well.
     if refusal.ran is not Ran.NOT_RUN:
         log_event(Event.REQUEST_REFUSED, refusal.code.name)
+    count_metric(Metric.REQUESTS_REFUSED)
     try:
         await caller.reply.refuse(refusal)
     except OSError:
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metrics.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metrics.py
@@ -45,3 +45,32 @@
         if self._client is not None:
             self._client.close()
             self._client = None
+
+
+# At most one: the metrics of this process.
+_installed: list[Metrics] = []
+
+
+def install_metrics(metrics: Metrics | None) -> None:
+    """Send later metrics there; ``None`` ends sending."""
+    _installed.clear()
+    if metrics is not None:
+        _installed.append(metrics)
+
+
+def count_metric(metric: Metric, amount: int = 1) -> None:
+    """Add to a counter of this process."""
+    for metrics in _installed:
+        metrics.count(metric, amount)
+
+
+def gauge_metric(metric: Metric, level: float) -> None:
+    """Set a gauge of this process."""
+    for metrics in _installed:
+        metrics.gauge(metric, level)
+
+
+def time_metric(metric: Metric, duration: Nanoseconds) -> None:
+    """Record a duration of this process, nanoseconds."""
+    for metrics in _installed:
+        metrics.timing(metric, duration)
--- a/packages/daemon/src/geraniumshelf_daemon/platform/http.py
+++ b/packages/daemon/src/geraniumshelf_daemon/platform/http.py
@@ -17,6 +17,8 @@
 from tornado.tcpclient import TCPClient
 
 from geraniumshelf_core.errors import PlatformError, ResultCode
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric
 from geraniumshelf_daemon.platform.interface import (
     ListedInstance,
     Snapshot,
@@ -133,6 +135,7 @@
             request_timeout=timeout_s,
             follow_redirects=False,
         )
+        count_metric(Metric.PLATFORM_CALLS)
         fetched = self._client.fetch(request, raise_error=False)
         # Tornado logs the error of a cancelled call as a fault of the program,
         # so a call whose caller goes away ends on its own.
@@ -140,6 +143,7 @@
         try:
             response = await asyncio.shield(fetched)
         except (HTTPClientError, HTTPInputError, OSError) as error:
+            count_metric(Metric.PLATFORM_FAILURES)
             raise PlatformError(
                 ResultCode.PLATFORM_UNREACHABLE, f'{method} {path}: {error}'
             ) from error
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/attempt.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/attempt.py
@@ -9,6 +9,8 @@
 
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric
 from geraniumshelf_daemon.upstream.exchange import Exchange
 from geraniumshelf_daemon.upstream.links import Passage
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
@@ -184,6 +186,7 @@
 
     def _silent(self, ran: Ran) -> AttemptFailed:
         dropped = self._pool.drop_idle(self._address)
+        count_metric(Metric.CONNECTIONS_SILENT)
         log_event(Event.CONNECTION_SILENT, self._address, dropped=dropped)
         return AttemptFailed(
             ResultCode.BACKEND_SILENT,
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/dispatcher.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/dispatcher.py
@@ -45,6 +45,8 @@
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
 from geraniumshelf_daemon.front.interface import FailoverSource
 from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric
 
 _QUEUE_LIMIT: Final = 256
 # Slots also come free without an end of a request: after an ejection or
@@ -142,7 +144,9 @@
 
     def may_retry(self) -> bool:
         """Take one retry out of the budget if it allows one."""
-        return spend_retry(self._budget)
+        is_allowed = spend_retry(self._budget)
+        count_metric(Metric.RETRIES, int(is_allowed))
+        return is_allowed
 
     def _check_servers(self, need: Need) -> Need:
         now = self._clock()
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/pool.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/pool.py
@@ -26,6 +26,10 @@
         """Return the number of idle connections to a backend server."""
         return len(self._idle[address])
 
+    def total_idle(self) -> int:
+        """Return the number of idle connections to all backend servers."""
+        return sum(map(len, self._idle.values()))
+
     async def acquire(self, address: str) -> IOStream:
         """Return a connection that was open a moment ago.
 
