Confirm outcome reports and bind them to one grant

Cause: the outcome of a run granted by another daemon was sent once without an answer, so a lost report left the id 'in progress' until its window expired; and a report named only the instance, so one that arrived late could free a later grant of the same id, which would then run twice. Ruled out: the record table, which already ends a grant once only.

Running requests of accounts with cut_off = "refuse" end when the zone is cut off, so that a withdrawn key stops there too.

--- a/packages/core/src/geraniumshelf_core/idempotency/state.py
+++ b/packages/core/src/geraniumshelf_core/idempotency/state.py
@@ -20,7 +20,7 @@
     """A run was granted and has not ended.
 
     Attributes:
-        granted_to: Instance that runs it.
+        granted_to: Instance that runs it and the number of its query.
     """
 
     granted_to: str
--- a/packages/core/src/geraniumshelf_core/messages/idempotency.py
+++ b/packages/core/src/geraniumshelf_core/messages/idempotency.py
@@ -12,10 +12,12 @@
     Attributes:
         account: Client account, empty on open routes.
         request_id: The request id.
+        nonce: Random number; a run that is granted is ended by it.
     """
 
     account: str
     request_id: str
+    nonce: int
 
 
 @frozen
@@ -47,6 +49,7 @@
     Attributes:
         account: Client account, empty on open routes.
         request_id: The request id.
+        nonce: Number of the query by which the run was granted.
         outcome: ``not-run``, ``lost`` or ``finished``.
         status: HTTP status of a finished run, 0 for none.
         headers: Names and values needed to repeat the answer.
@@ -56,6 +59,7 @@
 
     account: str
     request_id: str
+    nonce: int
     outcome: str
     status: int
     headers: tuple[Any, ...]
@@ -63,6 +67,13 @@
     body: bytes
 
 
+@frozen
+class RunNoted:
+    """Confirms a report of how a run ended."""
+
+    nonce: int
+
+
 @frozen
 class RecordsHandover:
     """A part of the records of a daemon that stops.
--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -19,6 +19,7 @@
     HandoverAccepted,
     RecordsHandover,
     RunFinished,
+    RunNoted,
     RunQuery,
     RunVerdict,
 )
@@ -57,6 +58,7 @@
     33: RecordsHandover,
     34: HandoverAccepted,
     35: DeciderMoved,
+    36: RunNoted,
     40: PlanAnnounce,
     41: LoadReport,
     42: PlanContents,
--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -133,6 +133,8 @@
             status.window = current_window(now)
             status.slot = self._limits.claims.slot
             self._control.entries.refresh(now)
+            if self._control.members.is_cut_off(now):
+                self._data_path.front.end_cut_off()
             copy_loads(
                 self._steering.collector.book, self._data_path.dispatcher.state
             )
--- a/packages/daemon/src/geraniumshelf_daemon/front/front.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/front.py
@@ -3,7 +3,10 @@
 import asyncio
 from typing import Final
 
-from geraniumshelf_core.configuration.model import Configuration
+from geraniumshelf_core.configuration.model import (
+    Configuration,
+    CutOffPolicy,
+)
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.front.admission import Gate
 from geraniumshelf_daemon.front.pipeline import Pipeline
@@ -52,6 +55,21 @@
         if table is not None:
             self._pipeline.running.end_withdrawn(table.keys)
 
+    def end_cut_off(self) -> int:
+        """End requests of accounts that are not served while cut off.
+
+        A withdrawn key must stop within seconds also for a request that runs.
+        """
+        table = self._gate.table
+        accounts = table.accounts.values() if table else ()
+        return self._pipeline.running.end_accounts(
+            [
+                account.name
+                for account in accounts
+                if account.cut_off is CutOffPolicy.REFUSE
+            ]
+        )
+
     def listen(self, host: str, port: int) -> int:
         """Listen at an address and return the port.
 
--- a/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/pipeline.py
@@ -35,7 +35,8 @@
     RunningRequest,
     RunningRequests,
 )
-from geraniumshelf_daemon.idempotency.decider import Grant, RunDecider
+from geraniumshelf_daemon.idempotency.decider import RunDecider
+from geraniumshelf_daemon.idempotency.grant import Grant
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.observability.metric_names import Metric
 from geraniumshelf_daemon.observability.metrics import count_metric, time_metric
--- a/packages/daemon/src/geraniumshelf_daemon/front/running.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/running.py
@@ -1,13 +1,16 @@
 """Requests that run now, and why they are ended early."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
+from typing import Final
 
 from attrs import define, field
 
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_daemon.observability.events import Event, log_event
 
+_CUT_OFF_RETRY_S: Final = 3
+
 
 @define(eq=False)
 class RunningRequest:
@@ -76,6 +79,23 @@
             log_event(Event.KEY_WITHDRAWN_STREAM, account=request.account)
         return len(withdrawn)
 
+    def end_accounts(self, accounts: Collection[str]) -> int:
+        """End the requests of accounts whose keys cannot be relied on.
+
+        Returns:
+            The number of requests that were ended.
+        """
+        ended = [one for one in self._requests if one.account in accounts]
+        for request in ended:
+            request.refusal = RequestRefused(
+                ResultCode.CUT_OFF,
+                'no withdrawal of a key can reach this zone now',
+                ran=request.ran,
+                retry_after_s=_CUT_OFF_RETRY_S,
+            )
+            request.task.cancel()
+        return len(ended)
+
     async def wait_empty(self) -> None:
         """Wait until no request runs."""
         while self._requests:
--- a/packages/daemon/src/geraniumshelf_daemon/idempotency/decider.py
+++ b/packages/daemon/src/geraniumshelf_daemon/idempotency/decider.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from typing import Final
 
-from attrs import define
-
 from geraniumshelf_core.errors import PeerError, ResultCode
 from geraniumshelf_core.idempotency.commands import (
     become_issuer,
@@ -28,13 +26,15 @@
 from geraniumshelf_core.messages.idempotency import (
     DeciderMoved,
     RunFinished,
+    RunNoted,
     RunQuery,
     RunVerdict,
 )
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+from geraniumshelf_daemon.idempotency.grant import Grant
 from geraniumshelf_daemon.idempotency.interface import DeciderDirectory
+from geraniumshelf_daemon.idempotency.reports import OutcomeReports
 from geraniumshelf_daemon.idempotency.wire import (
-    outcome_message,
     read_outcome,
     read_verdict,
     verdict_message,
@@ -50,19 +50,6 @@
 _MOST_MOVES: Final = 3
 
 
-@define
-class Grant:
-    """A run that was granted to this daemon.
-
-    Attributes:
-        decider: Instance that granted it, empty for this daemon.
-    """
-
-    account: str
-    request_id: RequestId
-    decider: str
-
-
 class RunDecider:
     """Answers whether a request may run on behalf of an account."""
 
@@ -79,6 +66,9 @@
         self._clock = clock
         self._table = RunTable(RECORD_LIMIT, BODY_LIMIT)
         self._moved: dict[Issuer, str] = {}
+        self._reports = OutcomeReports(
+            peers, self._decider_of, self._finish_here
+        )
         peers.register(RunQuery, self._answer_query)
         peers.register(RunFinished, self._record_outcome)
         peers.register(DeciderMoved, self._note_move)
@@ -88,6 +78,11 @@
         """Return the records."""
         return self._table
 
+    @property
+    def reports(self) -> OutcomeReports:
+        """Return the reports to other deciders."""
+        return self._reports
+
     def issue(self, slot: str, incarnation: int) -> None:
         """Begin to decide for ids of the own slot and incarnation."""
         issuer = (slot, incarnation)
@@ -103,36 +98,40 @@
         request_id = parse_request_id(text)
         issuer = issuer_of(request_id)
         if issuer in self._table.issuers and issuer not in self._table.moved:
+            grant = Grant(account, request_id, '')
+            asker = _asker(self._instance, grant.nonce)
             verdict = decide(
-                self._table, account, request_id, self._instance, self._clock()
+                self._table, account, request_id, asker, self._clock()
             )
-            return Grant(account, request_id, ''), verdict
+            return grant, verdict
         return await self._ask(account, request_id)
 
     def finished(self, grant: Grant, outcome: RunOutcome) -> None:
         """Report how a granted run ended to whoever granted it."""
-        issuer = issuer_of(grant.request_id)
-        is_local = issuer in self._table.issuers
-        if is_local and issuer not in self._table.moved:
-            finish(
-                self._table,
-                grant.account,
-                grant.request_id,
-                self._instance,
-                outcome,
-            )
-            return
-        decider = self._moved.get(issuer, grant.decider)
-        if decider and decider != self._instance:
-            self._peers.notify(
-                decider,
-                outcome_message(grant.account, str(grant.request_id), outcome),
-            )
+        if not self._finish_here(grant, outcome):
+            self._reports.send(grant, outcome)
 
     def note_decider(self, issuer: Issuer, instance: str) -> None:
         """Remember who decides for an issuer that has stopped."""
         self._moved[issuer] = instance
 
+    def _decider_of(self, grant: Grant) -> str:
+        return self._moved.get(issuer_of(grant.request_id), grant.decider)
+
+    def _finish_here(self, grant: Grant, outcome: RunOutcome) -> bool:
+        issuer = issuer_of(grant.request_id)
+        is_own = issuer in self._table.issuers
+        if not is_own or issuer in self._table.moved:
+            return False
+        finish(
+            self._table,
+            grant.account,
+            grant.request_id,
+            _asker(self._instance, grant.nonce),
+            outcome,
+        )
+        return True
+
     async def _ask(
         self, account: str, request_id: RequestId
     ) -> tuple[Grant, Verdict]:
@@ -150,7 +149,7 @@
         return grant, Unknown('the daemon that decides could not be found')
 
     async def _request(self, grant: Grant) -> Verdict:
-        query = RunQuery(grant.account, str(grant.request_id))
+        query = RunQuery(grant.account, str(grant.request_id), grant.nonce)
         try:
             answer = await self._peers.request(
                 grant.decider, query, _ASK_TIMEOUT
@@ -169,21 +168,26 @@
             self._table,
             query.account,
             parse_request_id(query.request_id),
-            instance,
+            _asker(instance, query.nonce),
             self._clock(),
         )
         return verdict_message(verdict)
 
     async def _record_outcome(
         self, instance: str, message: RunFinished
-    ) -> None:
+    ) -> RunNoted:
         finish(
             self._table,
             message.account,
             parse_request_id(message.request_id),
-            instance,
+            _asker(instance, message.nonce),
             read_outcome(message),
         )
+        return RunNoted(message.nonce)
 
     async def _note_move(self, instance: str, message: DeciderMoved) -> None:
         self._moved[(message.slot, message.incarnation)] = message.instance
+
+
+def _asker(instance: str, nonce: int) -> str:
+    return f'{instance}#{nonce:x}'
--- a/packages/daemon/src/geraniumshelf_daemon/idempotency/wire.py
+++ b/packages/daemon/src/geraniumshelf_daemon/idempotency/wire.py
@@ -59,20 +59,23 @@
 
 
 def outcome_message(
-    account: str, request_id: str, outcome: RunOutcome
+    account: str, request_id: str, nonce: int, outcome: RunOutcome
 ) -> RunFinished:
     """Return the message of an outcome."""
     match outcome:
         case NotRun():
             return RunFinished(
-                account, request_id, 'not-run', 0, (), False, b''
+                account, request_id, nonce, 'not-run', 0, (), False, b''
             )
         case Lost():
-            return RunFinished(account, request_id, 'lost', 0, (), False, b'')
+            return RunFinished(
+                account, request_id, nonce, 'lost', 0, (), False, b''
+            )
         case Finished(status, headers, body):
             return RunFinished(
                 account,
                 request_id,
+                nonce,
                 'finished',
                 status,
                 headers,
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/limits.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/limits.py
@@ -67,6 +67,7 @@
 
     async def hand_over(self) -> None:
         """Give records to a peer, loans to their lenders and the slot back."""
+        await self._decider.reports.settle()
         await self._keeper.hand_over(self._candidates())
         self._allowances.release()
         try:
--- a/tests/daemon/front/test_failures.py
+++ b/tests/daemon/front/test_failures.py
@@ -146,6 +146,27 @@
     run(scenario)
 
 
+def test_cut_off_zone_ends_running_requests() -> None:
+    """Guarantee 5 where no withdrawal can arrive, for running requests."""
+
+    async def scenario() -> None:
+        async with world() as w:
+            w.fault(0, service_ms=60_000)
+            waiting = await w.connect()
+            waiting.send('GET', '/desk/list')
+            open_route = await w.connect()
+            open_route.send('GET', '/desk/open')
+            await until(lambda: len(w.records) == 2)
+            assert w.front.end_cut_off() == 1
+            answer = await waiting.receive()
+            assert (answer.code, answer.ran) == (ResultCode.CUT_OFF, 'unknown')
+            await until(lambda: 'cancelled' in outcomes(w))
+            assert w.front.running_count == 1
+            open_route.close()
+
+    run(scenario)
+
+
 def test_leaving_caller_cancels_its_work() -> None:
     """Abandoned work would hold slots that others need."""
 
--- a/tests/daemon/idempotency/test_decider.py
+++ b/tests/daemon/idempotency/test_decider.py
@@ -85,6 +85,13 @@
     return request_id_prefix(f'{node}/0', 7, 0) + suffix
 
 
+async def _settle(node: Node) -> None:
+    """Wait until a daemon has no report left to deliver."""
+    async with asyncio.timeout(30):
+        while node.decider.reports.pending:
+            await asyncio.sleep(0.01)
+
+
 def _nodes() -> tuple[Network, list[Node]]:
     network = Network()
     return network, [network.join(name) for name in 'abc']
@@ -100,11 +107,47 @@
         assert (await a.decider.decide('x', _id('a', 's')))[1] == InProgress()
         answer = Finished(200, (('A', 'b'),), b'sold')
         b.decider.finished(grant, answer)
+        await _settle(b)
         assert (await c.decider.decide('x', _id('a', 's')))[1] == Done(answer)
 
     asyncio.run(scenario())
 
 
+def test_old_report_does_not_end_a_later_grant() -> None:
+    """A report that is delivered twice must not free the id again."""
+
+    async def scenario() -> None:
+        network, (_a, b, c) = _nodes()
+        first, _ = await b.decider.decide('x', _id('a', 's'))
+        b.decider.finished(first, NotRun())
+        await _settle(b)
+        _, verdict = await b.decider.decide('x', _id('a', 's'))
+        assert verdict == Run()
+        b.decider.finished(first, NotRun())
+        await _settle(b)
+        assert not network.losing
+        assert (await c.decider.decide('x', _id('a', 's')))[1] == InProgress()
+
+    asyncio.run(scenario())
+
+
+def test_lost_report_is_sent_again() -> None:
+    """An id whose run has ended must not stay "in progress"."""
+
+    async def scenario() -> None:
+        network, (_a, b, c) = _nodes()
+        grant, _ = await b.decider.decide('x', _id('a', 's'))
+        network.losing = 'request'
+        b.decider.finished(grant, Finished(200))
+        await asyncio.sleep(0)
+        network.losing = ''
+        await _settle(b)
+        verdict = (await c.decider.decide('x', _id('a', 's')))[1]
+        assert verdict == Done(Finished(200))
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize('losing', ['request', 'answer'])
 def test_lost_messages_leave_the_outcome_unknown(losing: str) -> None:
     """A grant that was lost on its way must not be used twice."""
@@ -153,6 +196,7 @@
             verdict = (await node.decider.decide('x', _id('a', 's249')))[1]
             assert verdict == done
         c.decider.finished(running, Finished(201))
+        await _settle(c)
         verdict = (await b.decider.decide('x', _id('a', 'running')))[1]
         assert verdict == Done(Finished(201))
 
