Run real daemons as processes under failure in tests

The whole daemon had been run by the demo only, without faults. Add a small deployment on a loopback network of its own, faulty links in front of the peer addresses that hold bytes by source address, and judges of callers' outcomes and backend servers' records with tests that each flags a broken record.

--- a/packages/standins/src/geraniumshelf_standins/caller/client.py
+++ b/packages/standins/src/geraniumshelf_standins/caller/client.py
@@ -70,6 +70,7 @@
         claimed_digest: What the backend server says the digest is.
         retry_after_s: Seconds that the refusal asks to wait, 0 for none.
         detail: Detail of a refusal.
+        answered_id: Request id that the answer names.
     """
 
     status: int
@@ -83,6 +84,7 @@
     claimed_digest: str = ''
     retry_after_s: int = 0
     detail: str = ''
+    answered_id: str = ''
 
     @property
     def is_served(self) -> bool:
@@ -270,6 +272,7 @@
         claimed_digest=headers.get('Body-Digest', ''),
         retry_after_s=int(headers.get('Retry-After', '0')),
         detail=detail,
+        answered_id=headers.get('Geraniumshelf-Request-Id', ''),
     )
 
 
--- a/packages/standins/src/geraniumshelf_standins/fleet/fleet.py
+++ b/packages/standins/src/geraniumshelf_standins/fleet/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
@@ -18,6 +18,7 @@
     platform_address,
 )
 from geraniumshelf_standins.fleet.process import ChildProcess, start_module
+from geraniumshelf_standins.fleet.relays import PeerRelays
 
 _START_TIMEOUT_S: Final = 30.0
 _POLL_S: Final = 0.05
@@ -33,6 +34,8 @@
         platform: The platform stand-in, once started.
         backends: Backend server stand-ins by name.
         daemons: Daemons by instance name.
+        relays: Faulty links in front of the peer addresses, ``None`` if
+            daemons reach each other directly.
     """
 
     deployment: Deployment
@@ -40,6 +43,7 @@
     platform: ChildProcess | None = None
     backends: dict[str, ChildProcess] = field(factory=dict)
     daemons: dict[str, ChildProcess] = field(factory=dict)
+    relays: PeerRelays | None = None
 
     @property
     def platform_url(self) -> str:
@@ -56,6 +60,8 @@
 
     async def start(self) -> None:
         """Start all processes and apply the configuration."""
+        if self.relays is not None:
+            await self.relays.start(self.places)
         await self.start_platform()
         await self.start_backends()
         await self.apply('0')
@@ -83,7 +89,7 @@
             f'{self.platform_url}/v1/instances/{name}',
             {
                 'zone': place.zone,
-                'peer_address': place.peer_address,
+                'peer_address': self._advertised(place),
                 'is_leaving': is_leaving,
             },
         )
@@ -119,6 +125,7 @@
             'region': place.region,
             'caller-address': place.caller_address,
             'peer-address': place.peer_address,
+            'advertised-peer-address': self._advertised(place),
             'operator-address': place.operator_address,
             'platform-url': self.platform_url,
             **(extra or {}),
@@ -170,13 +177,48 @@
             raise RuntimeError(f'{arguments}: {status}: {child.read_log()}')
         return child.read_log()
 
+    async def set_platform_faults(
+        self, *faults: Mapping[str, Any], cut_off: Iterable[str] = ()
+    ) -> None:
+        """Replace the faults of the platform.
+
+        Args:
+            faults: Faults as the stand-in takes them.
+            cut_off: Instances that can't reach the platform.
+        """
+        hosts = [self.places[name].host for name in cut_off]
+        rows: list[Mapping[str, Any]] = list(faults)
+        if hosts:
+            rows.insert(0, {'only_from': hosts, 'down': 'refuse'})
+        await put_json(f'{self.platform_url}/v1/faults', rows)
+
+    async def set_server_faults(self, name: str, **faults: Any) -> None:
+        """Set faults of a backend server by the names of their fields."""
+        server = self.server(name)
+        await put_json(f'http://{server.address}/-/faults', faults)
+
+    def server(self, name: str) -> BackendServer:
+        """Return a backend server by name."""
+        return next(
+            server
+            for server in self.deployment.configuration.servers
+            if server.name == name
+        )
+
     async def end(self) -> None:
         """End all processes at once."""
+        if self.relays is not None:
+            await self.relays.stop()
         children = [*self.daemons.values(), *self.backends.values()]
         if self.platform is not None:
             children.append(self.platform)
         await asyncio.gather(*(child.end() for child in children))
 
+    def _advertised(self, place: InstancePlace) -> str:
+        if self.relays is None:
+            return place.peer_address
+        return place.relay_address
+
 
 async def wait_for_url(url: str) -> None:
     """Wait until a URL answers.
@@ -201,8 +243,8 @@
         return {}
 
 
-async def put_json(url: str, content: Mapping[str, Any]) -> None:
+async def put_json(
+    url: str, content: Mapping[str, Any] | Sequence[Mapping[str, Any]]
+) -> None:
     """Put JSON content to a URL of a stand-in."""
-    await AsyncHTTPClient().fetch(
-        url, method='PUT', body=json.dumps(dict(content))
-    )
+    await AsyncHTTPClient().fetch(url, method='PUT', body=json.dumps(content))
--- a/packages/standins/src/geraniumshelf_standins/fleet/layout.py
+++ b/packages/standins/src/geraniumshelf_standins/fleet/layout.py
@@ -9,6 +9,7 @@
 CALLER_PORT: Final = 18000
 PEER_PORT: Final = 18001
 OPERATOR_PORT: Final = 18002
+RELAY_PORT: Final = 18003
 PLATFORM_PORT: Final = 18090
 
 _FIRST_INSTANCE: Final = 101
@@ -40,6 +41,11 @@
         """Return the address for other daemons."""
         return f'{self.host}:{PEER_PORT}'
 
+    @property
+    def relay_address(self) -> str:
+        """Return the address of the faulty link to the peer address."""
+        return f'{self.host}:{RELAY_PORT}'
+
     @property
     def operator_address(self) -> str:
         """Return the address for operators."""
--- a/packages/standins/src/geraniumshelf_standins/link/relay.py
+++ b/packages/standins/src/geraniumshelf_standins/link/relay.py
@@ -10,6 +10,7 @@
 _MS_PER_S: Final = 1000
 # Chunks that are under way in one direction.
 _IN_FLIGHT: Final = 64
+_HELD_POLL_S: Final = 0.02
 
 
 @define
@@ -24,6 +25,10 @@
         bytes_per_s: Rate of each direction of a connection, 0 for no limit.
         is_cut_forward: Whether bytes towards the target are dropped.
         is_cut_back: Whether bytes towards the caller are dropped.
+        held_forward: IP addresses of callers whose bytes towards the target
+            are held back until the fault ends, as TCP does across a
+            partition.
+        held_back: IP addresses of callers that get no bytes until then.
     """
 
     delay_ms: int = 0
@@ -32,11 +37,14 @@
     bytes_per_s: int = 0
     is_cut_forward: bool = False
     is_cut_back: bool = False
+    held_forward: frozenset[str] = frozenset()
+    held_back: frozenset[str] = frozenset()
 
 
 @define(eq=False)
 class _Connection:
     writers: tuple[asyncio.StreamWriter, ...]
+    source: str
     is_silent: bool = False
     tasks: list[asyncio.Task[None]] = field(factory=list)
 
@@ -101,7 +109,8 @@
         except OSError:
             writer.close()
             return
-        connection = _Connection((writer, far_writer))
+        source = str(writer.get_extra_info('peername')[0])
+        connection = _Connection((writer, far_writer), source)
         self._connections.add(connection)
         connection.tasks = [
             asyncio.ensure_future(self._carry(connection, direction))
@@ -143,6 +152,8 @@
             while True:
                 arrived, chunk = await queue.get()
                 await self._hold(arrived, len(chunk), passed)
+                while self._is_held(connection, direction):
+                    await asyncio.sleep(_HELD_POLL_S)
                 passed += len(chunk)
                 if self._is_dropped(connection, direction):
                     continue
@@ -164,6 +175,11 @@
         if due > loop.time():
             await asyncio.sleep(due - loop.time())
 
+    def _is_held(self, connection: _Connection, direction: _Direction) -> bool:
+        if direction.is_forward:
+            return connection.source in self.faults.held_forward
+        return connection.source in self.faults.held_back
+
     def _is_dropped(
         self, connection: _Connection, direction: _Direction
     ) -> bool:
--- /dev/null
+++ b/tests/process/deployment.py
@@ -0,0 +1,128 @@
+"""A small deployment for tests, on a loopback network of its own."""
+
+import os
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+from geraniumshelf_core.keys.digests import digest_key
+from geraniumshelf_standins.fleet.deployment import Deployment, place_deployment
+
+_TEMPLATE_NETWORK = 30
+_FIRST_NETWORK = 64
+_NETWORKS = 128
+_RESERVATION_PORT = 18099
+
+ZONES = (
+    ('north', 'north-a', 2),
+    ('north', 'north-b', 1),
+    ('south', 'south-a', 1),
+    ('south', 'south-b', 1),
+)
+DAEMONS = ('north-a-0', 'north-a-1', 'north-b-0', 'south-a-0', 'south-b-0')
+SERVICES = (
+    ('stock', '"GET", "HEAD"', 'true'),
+    ('sale', '"POST"', 'false'),
+    ('photo', '"PUT"', 'true'),
+)
+RATE_PER_S = 20
+BURST = 40
+# (account, rate per second, burst, rule for zones that are cut off)
+ACCOUNTS = (
+    ('steady', 2000, 4000, 'serve'),
+    ('wary', 2000, 4000, 'refuse'),
+    ('limited', RATE_PER_S, BURST, 'serve'),
+)
+CAP_PPM = 200_000
+STEP_S = 5
+BLOCKS = 250
+
+
+def key_of(account: str) -> str:
+    """Return the key of an account of the test deployment."""
+    return f'test-key-of-{account}'
+
+
+def reserve_network() -> tuple[int, socket.socket]:
+    """Return a free loopback network and the socket that reserves it.
+
+    The process id spreads runs; the bound socket keeps two runs apart.
+    """
+    for step in range(_NETWORKS):
+        network = _FIRST_NETWORK + (os.getpid() + step) % _NETWORKS
+        reservation = socket.socket()
+        try:
+            reservation.bind((f'127.{network}.0.2', _RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        return network, reservation
+    raise OSError('no loopback network is free')
+
+
+def build_deployment(folder: Path, network: int, slots: int) -> Deployment:
+    """Write the files of the deployment for a loopback network.
+
+    Args:
+        folder: Folder for the files.
+        network: Second number of the loopback addresses.
+        slots: Slots of each backend server.
+    """
+    source = folder / 'template'
+    overlays = source / 'overlays'
+    overlays.mkdir(parents=True)
+    base = '\n'.join(_base())
+    (source / 'base.toml').write_text(base, encoding='utf-8')
+    for number, region in enumerate(('north', 'south')):
+        text = '\n'.join(_overlay(region, number, slots))
+        (overlays / f'{region}.toml').write_text(text, encoding='utf-8')
+    return place_deployment(
+        source, _TEMPLATE_NETWORK, folder / 'files', network
+    )
+
+
+def _base() -> Iterator[str]:
+    yield 'deployment = "process-tests"'
+    for name, methods, idempotent in SERVICES:
+        yield f'[[services]]\nname = "{name}"\nlookup_ttl_s = 1'
+        yield 'progress_timeout_ms = 1500'
+        yield f'shift_cap = {{ share_ppm = {CAP_PPM}, step_s = {STEP_S} }}'
+        yield f'[[services.routes]]\nprefix = "/"\nmethods = [{methods}]'
+        yield f'idempotent = {idempotent}'
+    yield '[[regions]]\nname = "north"\n[[regions]]\nname = "south"'
+    yield '[[links]]\nbetween = ["north", "south"]'
+    yield 'mbit_per_s = 1000\none_way_ms = 1'
+    for service, _, _ in SERVICES:
+        yield from _weights(service)
+    for name, rate, burst, cut_off in ACCOUNTS:
+        yield f'[[accounts]]\nname = "{name}"\nrate_per_s = {rate}'
+        yield f'burst = {burst}\ncut_off = "{cut_off}"'
+        yield f'[[keys]]\nlabel = "{name}-test"\naccount = "{name}"'
+        yield f'digest = "{digest_key(key_of(name))}"'
+
+
+def _weights(service: str) -> Iterator[str]:
+    for source in ('north', 'south'):
+        for destination in ('north', 'south'):
+            share = 1_000_000 if source == destination else 0
+            failover = 0 if source == destination else 200_000
+            yield f'[[weights]]\nservice = "{service}"\nsource = "{source}"'
+            yield f'destination = "{destination}"\nshare_ppm = {share}'
+            yield f'failover_ppm = {failover}'
+
+
+def _overlay(region: str, number: int, slots: int) -> Iterator[str]:
+    yield f'site = "{region}"'
+    for index, (owner, zone, instances) in enumerate(ZONES, start=1):
+        if owner != region:
+            continue
+        yield f'[[zones]]\nname = "{zone}"\nregion = "{region}"'
+        yield f'slots = {instances}'
+        for place, (service, _, _) in enumerate(SERVICES, start=1):
+            yield f'[[servers]]\nname = "{service}-{zone}"'
+            yield f'service = "{service}"\nzone = "{zone}"'
+            address = f'127.{_TEMPLATE_NETWORK}.{index}.{place}:18080'
+            yield f'address = "{address}"\nslots = {slots}\nconnections = 200'
+    for block in range(BLOCKS):
+        yield f'[[blocks]]\nnetwork = "10.{number}.{block}.0/24"'
+        yield f'region = "{region}"'
