Recompute floors only when revision, slots or layouts change

The allowances recomputed the floors of all accounts and the lenders 20 times a second. In a profile of a daemon without load this took 0.58 s of 1.46 s. Floors depend only on the revision, the own slots and the layouts, and lenders only on the revision and the slot holders, so both are now kept; loans still end at the same tick.

--- a/packages/core/src/geraniumshelf_core/allowance/queries.py
+++ b/packages/core/src/geraniumshelf_core/allowance/queries.py
@@ -49,6 +49,15 @@
     return rate >= lent.rate and capacity >= lent.capacity
 
 
+def has_ended_loan(limit: Limit, now: Nanoseconds) -> bool:
+    """Tell whether a loan has reached its term but still counts."""
+    return any(
+        loan.ends_at <= now
+        for loans in (limit.lent, limit.borrowed)
+        for loan in loans
+    )
+
+
 def token_loans_out(limit: Limit) -> int:
     """Return micro-tokens that are out in token loans."""
     return sum(loan.capacity for loan in limit.lent if loan.is_token)
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/service.py
@@ -77,7 +77,7 @@
         """Exchange floors and settle token loans until cancelled."""
         renewed_at = self._clock() - _RENEWAL_PERIOD
         while True:
-            self._shares.refresh()
+            self._shares.refresh_if_due()
             self._tokens.flush()
             now = self._clock()
             is_due = now - renewed_at >= _RENEWAL_PERIOD
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/shares.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/shares.py
@@ -6,7 +6,7 @@
 
 from attrs import Factory, define
 
-from geraniumshelf_core.allowance.commands import set_floor
+from geraniumshelf_core.allowance.commands import advance, set_floor
 from geraniumshelf_core.allowance.floors import (
     Floor,
     Layout,
@@ -15,6 +15,7 @@
     slot_layout,
 )
 from geraniumshelf_core.allowance.owners import account_owners, account_tags
+from geraniumshelf_core.allowance.queries import has_ended_loan
 from geraniumshelf_core.allowance.state import Book, Limit
 from geraniumshelf_core.configuration.model import (
     ClientAccount,
@@ -48,14 +49,14 @@
     _regions: dict[str, str] = Factory(dict)
     _layouts: dict[int, Layout] = Factory(dict)
     _refreshed_at: Nanoseconds | None = None
+    _lenders: dict[str, tuple[int, ...]] = Factory(dict)
+    # Revision, own slots and layouts that the floors were computed from.
+    _basis: tuple[int, tuple[str, ...], tuple[Layout, ...]] | None = None
 
     def limit(self, account: str) -> Limit:
         """Return the limit of an account, with a floor that is up to date."""
-        now = self.clock()
-        last = self._refreshed_at
-        if last is None or now - last >= REFRESH_PERIOD:
-            self.refresh()
-        return self.book.limit(account, now)
+        self.refresh_if_due()
+        return self.book.limit(account, self.clock())
 
     def owners(self, account: str, instance: str) -> list[str]:
         """Return the owners for an instance, that of its region first."""
@@ -66,25 +67,29 @@
 
     def lenders(self) -> dict[str, tuple[int, ...]]:
         """Return the account tags to borrow floors of, by lender."""
-        return {
-            lender: tuple(
-                tag
-                for tag, account in self.tags.items()
-                if self._pools(account, region)
-            )
-            for lender, region in self._regions.items()
-            if lender != self.instance
-        }
+        return self._lenders
+
+    def refresh_if_due(self) -> None:
+        """Refresh unless this was done a short time ago."""
+        last = self._refreshed_at
+        if last is None or self.clock() - last >= REFRESH_PERIOD:
+            self.refresh()
 
     def refresh(self) -> None:
-        """Recompute floors and owners."""
-        self._refreshed_at = self.clock()
+        """Recompute floors and owners if what they depend on has changed."""
+        now = self.clock()
+        self._refreshed_at = now
         configuration = self.source.configuration
         if configuration is None:
             return
         self._read(configuration)
         layouts = self._possible_layouts()
         slots = self.slots.usable_slots()
+        basis = (self.source.revision, slots, layouts)
+        if basis == self._basis:
+            self._end_loans(now)
+            return
+        self._basis = basis
         for name in set(self.accounts).union(self.book.limits):
             account = self.accounts.get(name, ClientAccount(name, 0, 0))
             floors = [
@@ -95,9 +100,13 @@
                 sum(floor.rate for floor in floors),
                 sum(floor.capacity for floor in floors),
             )
-            now = self.clock()
             set_floor(self.book.limit(name, now), total, now)
 
+    def _end_loans(self, now: Nanoseconds) -> None:
+        for limit in self.book.limits.values():
+            if has_ended_loan(limit, now):
+                advance(limit, now)
+
     def _pools(self, account: str, region: str) -> bool:
         owner = self._owners.get(account, {}).get(region)
         return owner == self.instance
@@ -110,6 +119,7 @@
             self.tags = account_tags(self.accounts)
             self.tag_of = {name: tag for tag, name in self.tags.items()}
             self._regions = {}
+            self._lenders = {}
         regions = _instance_regions(configuration, self.members.slot_holders())
         if regions != self._regions:
             self._regions = regions
@@ -117,6 +127,18 @@
                 name: account_owners(name, account.burst, regions)
                 for name, account in self.accounts.items()
             }
+            self._lenders = self._find_lenders()
+
+    def _find_lenders(self) -> dict[str, tuple[int, ...]]:
+        return {
+            lender: tuple(
+                tag
+                for tag, account in self.tags.items()
+                if self._pools(account, region)
+            )
+            for lender, region in self._regions.items()
+            if lender != self.instance
+        }
 
     def _possible_layouts(self) -> tuple[Layout, ...]:
         confirmed = self.members.confirmed_revisions()
