Report ready only when floors may be used

Cause: a daemon told that it was ready when it held a slot, but its floors are unusable until all holders have confirmed the layout for one lender term; in between it refused requests within the rate (429 in test_only_the_account_of_the_key_runs_and_no_server_sees_a_key). Ruled out: the limits of the account (2000 a second, burst 4000).

--- a/packages/daemon/src/geraniumshelf_daemon/allowances/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/service.py
@@ -79,6 +79,10 @@
             retry_after_s=self._queue.retry_after_s(account),
         )
 
+    def is_usable(self) -> bool:
+        """Tell whether floors may be used; requests are refused before."""
+        return self._shares.has_floors()
+
     async def run(self) -> None:
         """Exchange floors and settle token loans until cancelled."""
         renewed_at = self._clock() - _RENEWAL_PERIOD
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/shares.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/shares.py
@@ -71,6 +71,10 @@
         others = [each for each in self._holders if each != self.instance]
         return dict.fromkeys(others, pooled)
 
+    def has_floors(self) -> bool:
+        """Tell whether the layouts in force are known here."""
+        return bool(self._layouts.in_force(self.clock()))
+
     def refresh(self) -> None:
         """Recompute floors and owners."""
         self._refreshed_at = self.clock()
