Bound each source's moves by the cap and apply plans step by step

The cap was a share of reported demand, so a source that woke up between a report and its use could move by more than the cap, and a daemon that rejoined after a cut took several revisions into its answers at once. Each source now keeps the cap whatever the demand, and answers follow the held plan by at most the cap in each step length on the own clock.

--- a/packages/core/src/geraniumshelf_core/lookup/shares.py
+++ b/packages/core/src/geraniumshelf_core/lookup/shares.py
@@ -85,10 +85,55 @@
     return _join([*kept, *_assign(freed, wanted)])
 
 
+def count_moved(shares: Shares, target: Shares) -> int:
+    """Return how many points have another region, parts per million."""
+    return sum(
+        end - start
+        for start, end, old, new in _compare(shares, target)
+        if old != new
+    )
+
+
+def approach_shares(shares: Shares, target: Shares, limit: int) -> Shares:
+    """Move at most some points towards the target.
+
+    All differences advance by the same fraction, so that the weight of each
+    region stays between its weights in both layouts.
+
+    Args:
+        shares: Intervals now.
+        target: Intervals to reach.
+        limit: Most points to move, parts per million.
+    """
+    total = count_moved(shares, target)
+    if total <= limit:
+        return target
+    pieces: list[_Piece] = []
+    seen = 0
+    for start, end, old, new in _compare(shares, target):
+        cut = start
+        if old != new:
+            moved = seen * limit // total
+            seen += end - start
+            cut += seen * limit // total - moved
+        pieces.extend([(start, cut, new), (cut, end, old)])
+    return _join(piece for piece in pieces if piece[0] < piece[1])
+
+
 # Start, end and region of a piece.
 _Piece = tuple[int, int, str]
 
 
+def _compare(
+    shares: Shares, target: Shares
+) -> Iterable[tuple[int, int, str, str]]:
+    ends = {interval.end for interval in (*shares, *target)}
+    start = 0
+    for end in sorted(ends):
+        yield start, end, region_at(shares, start), region_at(target, start)
+        start = end
+
+
 def _release(
     shares: Shares, surplus: dict[str, int]
 ) -> tuple[list[_Piece], list[_Piece]]:
--- a/packages/core/src/geraniumshelf_core/plan/steps.py
+++ b/packages/core/src/geraniumshelf_core/plan/steps.py
@@ -32,7 +32,7 @@
         failover: Failover allowances of each source.
         demand: Traffic by source.
         rooms: Load that each region may be given, micro-requests.
-        cap_ppm: Share of the service's traffic that one step may move.
+        cap_ppm: Share of each source's points that one step may move.
     """
 
     target: Mapping[str, Mapping[str, int]]
@@ -101,31 +101,25 @@
 
     Attributes:
         loads: Traffic that each source counts for, micro-requests.
-        service: Load that may still be moved; ``None`` if the traffic is not
-            known, when each source is bounded for itself.
-        source_ppm: Bound for a single source, parts per million.
+        source_ppm: Bound for each source, parts per million. Demand changes
+            between a report and its use, so the cap must not depend on it:
+            each source keeps the cap, and so does any sum over sources.
         rooms: Load that each region may still be given.
     """
 
     loads: dict[str, int]
-    service: int | None
     source_ppm: int
     rooms: dict[str, int]
 
     def largest_move(self, source: str, region: str) -> int:
         """Return the largest share in ppm that may move to a region."""
-        load = self.loads[source]
-        bounds = [self.rooms.get(region, 0)]
-        if self.service is not None:
-            bounds.append(self.service)
-        return min(bounds) * PARTS_PER_MILLION // load
+        room = self.rooms.get(region, 0)
+        return room * PARTS_PER_MILLION // self.loads[source]
 
     def spend(self, source: str, region: str, share: int) -> None:
         """Count a move of a share in ppm."""
         load = -(-self.loads[source] * share // PARTS_PER_MILLION)
         self.rooms[region] -= load
-        if self.service is not None:
-            self.service -= load
 
 
 def _start_budget(current: Plan, situation: Situation) -> _Budget:
@@ -140,11 +134,9 @@
         source: max(least, demand.by_source.get(source, 0))
         for source in sources
     }
-    is_known = demand.is_complete and total > 0
     return _Budget(
         loads,
-        situation.cap_ppm * total // PARTS_PER_MILLION if is_known else None,
-        PARTS_PER_MILLION if is_known else situation.cap_ppm,
+        situation.cap_ppm,
         _ramped_rooms(current, situation, loads),
     )
 
--- a/packages/daemon/src/geraniumshelf_daemon/steering/plans.py
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/plans.py
@@ -1,6 +1,7 @@
 """The plans in force at this daemon."""
 
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 from attrs import Factory, define, frozen
@@ -53,6 +54,7 @@
         """Start without plans."""
         self._held: dict[str, HeldPlan] = {}
         self._version = 0
+        self._listeners: list[Callable[[str, Nanoseconds], None]] = []
 
     @property
     def version(self) -> int:
@@ -72,6 +74,10 @@
         """Return all plans in force."""
         return tuple(held.plan for held in self._held.values())
 
+    def subscribe(self, listener: Callable[[str, Nanoseconds], None]) -> None:
+        """Call with service and time before a higher revision is held."""
+        self._listeners.append(listener)
+
     def accept(
         self, plan: Plan, now: Nanoseconds, stored_version: int | None = None
     ) -> bool:
@@ -89,6 +95,8 @@
         if held is None:
             self._held[plan.service] = HeldPlan(plan, now, stored_version)
         elif plan.revision > held.plan.revision:
+            for listener in self._listeners:
+                listener(plan.service, now)
             held.changes.append(PlanChange(now, held.plan, plan))
             held.plan = plan
             held.first_seen = now
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
@@ -5,6 +5,7 @@
 from geraniumshelf_core.configuration.model import Configuration
 from geraniumshelf_daemon.clock import current_time
 from geraniumshelf_daemon.lookups.service import LookupService
+from geraniumshelf_daemon.steering.applied import AppliedPlans
 from geraniumshelf_daemon.steering.collector import LoadCollector
 from geraniumshelf_daemon.steering.exchange import PlanExchange
 from geraniumshelf_daemon.steering.fetch import LoadFetcher
@@ -46,7 +47,10 @@
             control.entries,
         )
         self._lookups = LookupService(
-            control.holder, self._plans, control.entries, hello.region
+            control.holder,
+            AppliedPlans(self._plans, control.holder, current_time),
+            control.entries,
+            hello.region,
         )
         self._collector.register()
         self._exchange.register()
--- a/tests/core/lookup/test_shares.py
+++ b/tests/core/lookup/test_shares.py
@@ -9,7 +9,9 @@
 )
 from geraniumshelf_core.lookup.point import block_point
 from geraniumshelf_core.lookup.shares import (
+    approach_shares,
     change_shares,
+    count_moved,
     initial_shares,
     is_complete,
     region_at,
@@ -57,6 +59,23 @@
         shares = changed
 
 
+@given(_weights(), _weights(), st.integers(20_000, 400_000))
+def test_approach_keeps_its_limit_and_arrives(start, end, limit) -> None:
+    """A region must not get more on the way than before or after it."""
+    shares, target = initial_shares(start), initial_shares(end)
+    for _ in range(-(-count_moved(shares, target) // limit)):
+        bounds = share_weights(shares), share_weights(target)
+        nearer = approach_shares(shares, target, limit)
+        assert count_moved(shares, nearer) <= limit
+        assert is_complete(nearer)
+        for region, weight in share_weights(nearer).items():
+            rows = [row.get(region, 0) for row in bounds]
+            # Each of a few pieces rounds by one point.
+            assert min(rows) - 9 <= weight <= max(rows) + 9
+        shares = nearer
+    assert shares == target
+
+
 def test_intervals_do_not_multiply_without_bound() -> None:
     """Each step back and forth must not leave more splinters in the plan."""
     first = {'a': 400_000, 'b': 300_000, 'c': 300_000}
