Show the layout of slots in claims and settle layouts by them

A new daemon did not know which layout a holder that it had not heard from still used, so shares of two layouts could exceed the total (50 admitted at once with a burst of 40). Each claim now shows the digest of the layout in force. A daemon writes its claim, lists all claims once, and settles a layout only when every claim that shows another one has changed, gone, been unchanged for the hold time, or its holder has confirmed a revision with the layout by a later heartbeat. A claim that could not be renewed in time is made anew. A starting daemon seeks its slot as soon as it has a configuration, and retries with back-off and jitter.

--- a/packages/core/src/geraniumshelf_core/allowance/claims.py
+++ b/packages/core/src/geraniumshelf_core/allowance/claims.py
@@ -24,7 +24,9 @@
         address: Peer address, IP address and port.
         incarnation: Random number of the run.
         epoch: Number that grows whenever the claim changes hands.
-        renewals: Number of renewals in this epoch.
+        renewals: Number of writes in this epoch after the first.
+        layout: Digest of the layout of slots in force at the holder.
+        revision: Revision in force at the holder when it wrote this.
     """
 
     instance: str
@@ -32,6 +34,8 @@
     incarnation: int
     epoch: int
     renewals: int = 0
+    layout: str = ''
+    revision: int = 0
 
 
 @frozen
@@ -84,6 +88,20 @@
     return now - renewed_at >= RENEWAL_PERIOD
 
 
+def may_renew(
+    renewed_at: Nanoseconds, hold_time: Nanoseconds, now: Nanoseconds
+) -> bool:
+    """Tell whether others still count a claim as in use.
+
+    Args:
+        renewed_at: When the last successful write was sent, nanoseconds.
+        hold_time: Time after which others may take over, nanoseconds.
+        now: Nanoseconds.
+    """
+    stop_after = hold_time - hold_time // _DRIFT_DIVISOR - _STOP_MARGIN
+    return now - renewed_at < stop_after
+
+
 def may_use_floor(
     claimed_at: Nanoseconds,
     renewed_at: Nanoseconds,
@@ -98,6 +116,5 @@
         hold_time: Time after which others may take over, nanoseconds.
         now: Nanoseconds.
     """
-    stop_after = hold_time - hold_time // _DRIFT_DIVISOR - _STOP_MARGIN
     is_ready = now - claimed_at >= QUARANTINE
-    return is_ready and now - renewed_at < stop_after
+    return is_ready and may_renew(renewed_at, hold_time, now)
--- a/packages/core/src/geraniumshelf_core/allowance/layouts.py
+++ b/packages/core/src/geraniumshelf_core/allowance/layouts.py
@@ -1,9 +1,10 @@
 """Layouts of slots that some holder may still have in force."""
 
 from collections.abc import Mapping
+from hashlib import sha256
 from typing import Final
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from geraniumshelf_core.allowance.floors import Layout
 from geraniumshelf_core.allowance.state import QUARANTINE, lender_term
@@ -13,13 +14,49 @@
 # lender has confirmed the next revision.
 SETTLING_TIME: Final[Nanoseconds] = lender_term(QUARANTINE)
 
+_DIGEST_CHARACTERS: Final = 16
+
+# A heartbeat a second and 0.3 revisions a second need a few of them.
+_MOST_REVISIONS: Final = 1000
+
+
+def layout_digest(layout: Layout) -> str:
+    """Return the name of a layout in the claim of a slot."""
+    digest = sha256('\n'.join(layout).encode()).hexdigest()
+    return digest[:_DIGEST_CHARACTERS]
+
+
+@frozen
+class UnlikeClaims:
+    """The claims of other slots that show another layout.
+
+    Attributes:
+        revisions: Revision in the claim, by slot.
+        read_at: When the last of them was read, nanoseconds.
+    """
+
+    revisions: Mapping[str, int]
+    read_at: Nanoseconds
+
 
 @define
 class LayoutHistory:
-    """The layouts by revision, and when all holders had confirmed them."""
+    """The layouts by first revision, and when all holders had adopted them.
+
+    A holder stays within its share of each layout from the last one on that
+    had settled for it. A layout settles once the own claim shows it and all
+    other holders are known to have it too, from claims that were listed
+    later or from later heartbeats. So one layout is common to all holders.
+    """
 
     _known: dict[int, Layout] = Factory(dict)
-    _confirmed_at: dict[int, Nanoseconds] = Factory(dict)
+    _adopted_at: dict[int, Nanoseconds] = Factory(dict)
+    _revisions: dict[int, None] = Factory(dict)
+
+    @property
+    def since(self) -> int:
+        """Return the first revision with the newest layout, 0 for none."""
+        return max(self._known, default=0)
 
     def add(self, revision: int, layout: Layout) -> None:
         """Remember the layout of a revision in force here.
@@ -27,25 +64,43 @@
         Only changes are kept: a holder that is gone holds up settling, and
         there are 26,000 revisions a day.
         """
-        newest = max(self._known, default=0)
-        if self._known.get(newest) != layout:
+        if self._known.get(self.since) != layout:
             self._known[revision] = layout
+            self._revisions.clear()
+        self._revisions[revision] = None
+        if len(self._revisions) > _MOST_REVISIONS:
+            self._revisions.pop(next(iter(self._revisions)))
+
+    def restart(self) -> None:
+        """Settle anew, because the others did not wait for this daemon."""
+        for past in tuple(self._known):
+            if past < self.since:
+                self._known.pop(past)
+        self._adopted_at.clear()
 
-    def note(self, confirmed: Mapping[str, int], now: Nanoseconds) -> None:
-        """Note which revisions all holders have confirmed.
+    def note(
+        self,
+        unlike: UnlikeClaims | None,
+        heard: Mapping[str, int],
+        now: Nanoseconds,
+    ) -> None:
+        """Note whether all holders have adopted the newest layout.
 
         Args:
-            confirmed: Last confirmed revision per slot ever seen.
+            unlike: Claims that show another layout; ``None`` before all
+                were listed.
+            heard: Revision by slot in heartbeats later than these.
             now: Nanoseconds.
         """
-        oldest = min(confirmed.values(), default=0)
-        for revision in self._known:
-            if revision <= oldest:
-                self._confirmed_at.setdefault(revision, now)
+        if unlike is not None and all(
+            self._has_adopted(heard.get(slot, 0), claimed)
+            for slot, claimed in unlike.revisions.items()
+        ):
+            self._adopted_at.setdefault(self.since, now)
         start = self._start(now)
         for past in tuple(filter(start.__gt__, self._known)):
             self._known.pop(past)
-            self._confirmed_at.pop(past, None)
+            self._adopted_at.pop(past, None)
 
     def in_force(self, now: Nanoseconds) -> tuple[Layout, ...]:
         """Return layouts with shares that may be in use or out on loan.
@@ -62,11 +117,18 @@
         )
         return tuple(dict.fromkeys(layouts))
 
+    def _has_adopted(self, heard: int, claimed: int) -> bool:
+        """Tell whether a heartbeat later than a claim shows the layout.
+
+        Revisions that were never in force here may have had another one.
+        """
+        return heard >= claimed and heard in self._revisions
+
     def _start(self, now: Nanoseconds) -> int:
         """Return the newest revision that has settled, 0 for none."""
         settled = (
             revision
-            for revision, since in self._confirmed_at.items()
+            for revision, since in self._adopted_at.items()
             if now - since >= SETTLING_TIME
         )
         return max(settled, default=0)
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/interface.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/interface.py
@@ -3,6 +3,9 @@
 from collections.abc import Mapping
 from typing import Protocol
 
+from geraniumshelf_core.allowance.layouts import UnlikeClaims
+from geraniumshelf_core.units import Nanoseconds
+
 
 class MembershipView(Protocol):
     """The slots of all daemons, as far as known here."""
@@ -10,12 +13,8 @@
     def slot_holders(self) -> Mapping[str, str]:
         """Return the instance name by slot of live holders, own included."""
 
-    def confirmed_revisions(self) -> Mapping[str, int]:
-        """Return the last confirmed revision by slot, for all ever seen.
-
-        A restarted holder that reports 0 keeps its former revision here; a
-        slot that was never heard from is left out.
-        """
+    def confirmed_revisions(self, after: Nanoseconds) -> Mapping[str, int]:
+        """Return the last revision by slot in heartbeats after a time."""
 
 
 class SlotUse(Protocol):
@@ -23,3 +22,14 @@
 
     def usable_slots(self) -> tuple[str, ...]:
         """Return own slots past their quarantine and renewed in time."""
+
+    def claim_number(self) -> tuple[str, int]:
+        """Return what changes with each claim: the slot and its epoch."""
+
+    def unlike_claims(self, since: int) -> UnlikeClaims | None:
+        """Return the claims that show another layout.
+
+        Returns:
+            ``None`` before the own claim has shown the layout in force since
+            that revision and all claims were listed after it.
+        """
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/shares.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/shares.py
@@ -9,6 +9,7 @@
 from geraniumshelf_core.allowance.commands import set_floor
 from geraniumshelf_core.allowance.floors import (
     Floor,
+    Layout,
     slot_floor,
     slot_layout,
 )
@@ -46,6 +47,7 @@
     _owners: dict[str, str | None] = Factory(dict)
     _holders: tuple[str, ...] = ()
     _revision: int = 0
+    _claim_number: tuple[str, int] = ('', 0)
     _layouts: LayoutHistory = Factory(LayoutHistory)
     _refreshed_at: Nanoseconds | None = None
 
@@ -78,8 +80,7 @@
         if configuration is None:
             return
         self._read(configuration)
-        self._layouts.note(self.members.confirmed_revisions(), self.clock())
-        layouts = self._layouts.in_force(self.clock())
+        layouts = self._layouts_in_force()
         slots = self.slots.usable_slots()
         for name in set(self.accounts).union(self.book.limits):
             account = self.accounts.get(name, ClientAccount(name, 0, 0))
@@ -94,6 +95,17 @@
             now = self.clock()
             set_floor(self.book.limit(name, now), total, now)
 
+    def _layouts_in_force(self) -> tuple[Layout, ...]:
+        number = self.slots.claim_number()
+        if number != self._claim_number:
+            self._claim_number = number
+            self._layouts.restart()
+        unlike = self.slots.unlike_claims(self._layouts.since)
+        read_at = unlike.read_at if unlike else 0
+        heard = self.members.confirmed_revisions(read_at)
+        self._layouts.note(unlike, heard, self.clock())
+        return self._layouts.in_force(self.clock())
+
     def _read(self, configuration: Configuration) -> None:
         revision = self.source.revision
         if revision != self._revision:
--- a/packages/daemon/src/geraniumshelf_daemon/slots/claims.py
+++ b/packages/daemon/src/geraniumshelf_daemon/slots/claims.py
@@ -1,32 +1,39 @@
 """Claims a slot of the own availability zone on the platform."""
 
-import asyncio
 from collections.abc import Callable
+from random import uniform
 from typing import Final
 
-import cbor2
-from attrs import asdict, define, evolve, field
+from attrs import define, evolve, field
 
 from geraniumshelf_core.allowance.claims import (
     Claim,
-    Sighting,
     is_renewal_due,
-    may_take_over,
+    may_renew,
     may_use_floor,
-    sight,
 )
-from geraniumshelf_core.errors import PlatformError, ResultCode
-from geraniumshelf_core.units import SECOND_NS, Nanoseconds, ns_to_seconds
+from geraniumshelf_core.allowance.layouts import UnlikeClaims
+from geraniumshelf_core.configuration.model import Configuration
+from geraniumshelf_core.errors import PlatformError
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds
 from geraniumshelf_daemon.observability.events import Event, log_event
-from geraniumshelf_daemon.platform.interface import Platform, StoredObject
+from geraniumshelf_daemon.platform.interface import Platform
 from geraniumshelf_daemon.replication.interface import ConfigurationSource
+from geraniumshelf_daemon.slots.objects import (
+    decode_claim,
+    object_name,
+    read_claim,
+    write_claim,
+)
+from geraniumshelf_daemon.slots.publication import LayoutPublication
+from geraniumshelf_daemon.slots.search import SlotSearch
+from geraniumshelf_daemon.slots.survey import ClaimSurvey
 
 # One read of an own claim a minute; a claim that is missing is sought more
 # often, so that a started daemon gets its floor soon.
 _CHECK_PERIOD: Final[Nanoseconds] = 60 * SECOND_NS
 _SEARCH_PERIOD: Final[Nanoseconds] = 5 * SECOND_NS
-_PERIOD_NUMBER: Final = 3
-_LONGEST_GAP: Final[Nanoseconds] = _PERIOD_NUMBER * _CHECK_PERIOD
+_FIRST_RETRY: Final[Nanoseconds] = SECOND_NS // 4
 
 
 @define
@@ -58,8 +65,15 @@
     _platform: Platform
     _source: ConfigurationSource
     _held: _Held | None = field(default=None, init=False)
-    _sightings: dict[str, Sighting] = field(factory=dict, init=False)
     _is_released: bool = field(default=False, init=False)
+    _search: SlotSearch = field(init=False)
+    _survey: ClaimSurvey = field(init=False)
+    _publication: LayoutPublication = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._search = SlotSearch(self._zone, self._own.address, self._platform)
+        self._survey = ClaimSurvey(self._platform)
+        self._publication = LayoutPublication(self._source)
 
     @property
     def slot(self) -> str:
@@ -70,31 +84,69 @@
         """Return the slot if its floor may be used now."""
         held = self._held
         if held is None or not may_use_floor(
-            held.claimed_at, held.renewed_at, self._hold_time(), self._clock()
+            held.claimed_at,
+            held.renewed_at,
+            _hold_time(self._source.configuration),
+            self._clock(),
         ):
             return ()
         return (held.slot,)
 
+    def claim_number(self) -> tuple[str, int]:
+        """Return what changes with each claim: the slot and its epoch."""
+        held = self._held
+        return (held.slot, held.claim.epoch) if held else ('', 0)
+
+    def unlike_claims(self, since: int) -> UnlikeClaims | None:
+        """Return the claims that show another layout.
+
+        Returns:
+            ``None`` before the own claim has shown the layout in force since
+            that revision and all claims were listed after it.
+        """
+        if self._held is None or not self._survey.is_done(since):
+            return None
+        return self._survey.unlike_claims()
+
     async def run(self) -> None:
         """Claim and renew until cancelled or released."""
+        retry = _FIRST_RETRY
         while not self._is_released:
             try:
                 await self.step()
             except PlatformError as error:
                 log_event(Event.PLATFORM_LOST, str(error))
-            period = _CHECK_PERIOD if self._held else _SEARCH_PERIOD
-            await asyncio.sleep(ns_to_seconds(period))
+            period = _CHECK_PERIOD
+            if self._is_pending():
+                period = round(retry * uniform(1 / 2, 1))
+                retry = min(2 * retry, _SEARCH_PERIOD)
+            else:
+                retry = _FIRST_RETRY
+            is_changed = await self._publication.wait(period)
+            if is_changed and self._held is not None:
+                await self._publication.take_turn()
 
     async def step(self) -> None:
-        """Check the claim that is held, or seek one.
+        """Check the claim that is held, or seek one; then list claims.
 
         Raises:
             PlatformError: The platform failed; the claim stays as it was.
         """
+        configuration = self._source.configuration
+        if configuration is None:
+            return
+        self._publication.follow(configuration)
         if self._held is None:
-            await self._seek()
+            await self._seek(configuration)
         else:
-            await self._check(self._held)
+            await self._check(self._held, _hold_time(configuration))
+        held = self._held
+        if held is None:
+            return
+        if self._survey.is_done(self._publication.since):
+            await self._survey.recheck(_hold_time(configuration), self._clock())
+        elif held.claim.revision >= self._publication.since:
+            await self._survey.take(held.slot, held.claim, self._clock())
 
     async def release(self) -> None:
         """Free the slot at a graceful stop.
@@ -106,128 +158,73 @@
         held = self._held
         self._held = None
         if held is not None:
-            await self._platform.delete(_name(held.slot), held.version)
+            await self._platform.delete(object_name(held.slot), held.version)
             log_event(Event.SLOT_RELEASED, held.slot)
 
-    async def _check(self, held: _Held) -> None:
-        stored = await self._read(held.slot)
-        if stored is None or _decode(stored) != held.claim:
-            self._adopt_or_lose(held, stored)
-            return
-        held.version = stored.version
-        now = self._clock()
-        if is_renewal_due(held.renewed_at, now):
-            claim = evolve(held.claim, renewals=held.claim.renewals + 1)
-            version = await self._write(held.slot, claim, held.version)
-            if version is not None:
-                self._held = evolve(
-                    held, version=version, claim=claim, renewed_at=now
-                )
-
-    def _adopt_or_lose(self, held: _Held, stored: StoredObject | None) -> None:
-        claim = _decode(stored) if stored else None
-        is_own = claim is not None and (
-            (claim.incarnation, claim.epoch)
-            == (held.claim.incarnation, held.claim.epoch)
-        )
-        if claim is not None and stored is not None and is_own:
-            # A renewal whose answer was lost; its time is not known, so the
-            # former one stays in force.
-            self._held = evolve(held, version=stored.version, claim=claim)
-            return
-        self._held = None
-        log_event(Event.SLOT_LOST, held.slot)
+    def _is_pending(self) -> bool:
+        """Tell whether a claim or a listing is still to be made."""
+        if self._source.configuration is None:
+            return False
+        is_listed = self._survey.is_done(self._publication.since)
+        return self._held is None or not is_listed
 
-    async def _seek(self) -> None:
-        configuration = self._source.configuration
-        if configuration is None:
-            return
-        numbers = [
-            number
-            for zone in configuration.zones
-            if zone.name == self._zone
-            for number in range(zone.slots)
-        ]
-        snapshot = await self._platform.list_objects(f'slots/{self._zone}/')
-        claims = {stored.name: stored for stored in snapshot.objects}
+    async def _check(self, held: _Held, hold_time: Nanoseconds) -> None:
+        stored = await read_claim(self._platform, held.slot)
+        claim = decode_claim(stored)
         now = self._clock()
-        slots = [f'{self._zone}/{number}' for number in numbers]
-        slots.sort(key=lambda each: self._order(each, claims))
-        for slot in slots:
-            stored = claims.get(_name(slot))
-            if self._may_claim(slot, stored, now):
-                await self._claim(slot, stored)
-            if self._held is not None:
-                return
+        # Others may count on it that a claim left unchanged for the hold time
+        # is no longer in use, so it must be made anew.
+        is_kept = may_renew(held.renewed_at, hold_time, now)
+        if stored is None or claim is None or not is_kept:
+            self._lose(held)
+        elif (claim.incarnation, claim.epoch) == (
+            held.claim.incarnation,
+            held.claim.epoch,
+        ):
+            # It may be a renewal whose answer was lost; its time is not
+            # known, so the former one stays in force.
+            adopted = evolve(held, version=stored.version, claim=claim)
+            self._held = adopted
+            await self._renew(adopted, now)
+        else:
+            self._lose(held)
 
-    def _order(self, slot: str, claims: dict[str, StoredObject]) -> int:
-        """Put the own address first, then free slots."""
-        stored = claims.get(_name(slot))
-        claim = _decode(stored) if stored else None
-        if claim is None:
-            return 1
-        return 0 if claim.address == self._own.address else 2
-
-    def _may_claim(
-        self, slot: str, stored: StoredObject | None, now: Nanoseconds
-    ) -> bool:
-        claim = _decode(stored) if stored else None
-        if stored is None or claim is None:
-            return stored is None
-        sighting = sight(
-            self._sightings.get(slot), stored.version, claim, _LONGEST_GAP, now
+    async def _renew(self, held: _Held, now: Nanoseconds) -> None:
+        is_shown = held.claim.revision >= self._publication.since
+        if is_shown and not is_renewal_due(held.renewed_at, now):
+            return
+        claim = evolve(
+            self._publication.sign(held.claim),
+            renewals=held.claim.renewals + 1,
+        )
+        version = await write_claim(
+            self._platform, held.slot, claim, held.version
         )
-        self._sightings[slot] = sighting
-        return may_take_over(sighting, self._own.address, self._hold_time())
-
-    async def _claim(self, slot: str, stored: StoredObject | None) -> None:
-        before = _decode(stored) if stored else None
-        epoch = before.epoch + 1 if before else 1
-        claim = evolve(self._own, epoch=epoch, renewals=0)
-        sent_at = self._clock()
-        expected = stored.version if stored else 0
-        version = await self._write(slot, claim, expected)
         if version is not None:
-            self._held = _Held(slot, version, claim, self._clock(), sent_at)
-            log_event(Event.SLOT_CLAIMED, slot, epoch=epoch)
-
-    async def _write(
-        self, slot: str, claim: Claim, expected: int
-    ) -> int | None:
-        """Write a claim; settles a lost answer by reading back."""
-        try:
-            return await self._platform.put(
-                _name(slot), cbor2.dumps(asdict(claim)), expected
+            self._held = evolve(
+                held, version=version, claim=claim, renewed_at=now
             )
-        except PlatformError as error:
-            if error.code is ResultCode.VERSION_CONFLICT:
-                return None
-            stored = await self._read(slot)
-        if stored is not None and _decode(stored) == claim:
-            return stored.version
-        return None
-
-    async def _read(self, slot: str) -> StoredObject | None:
-        try:
-            return await self._platform.get(_name(slot))
-        except PlatformError as error:
-            if error.code is ResultCode.OBJECT_MISSING:
-                return None
-            raise
-
-    def _hold_time(self) -> Nanoseconds:
-        configuration = self._source.configuration
-        hold_s = configuration.slot_hold_s if configuration else 0
-        return hold_s * SECOND_NS
 
+    def _lose(self, held: _Held) -> None:
+        self._held = None
+        log_event(Event.SLOT_LOST, held.slot)
 
-def _name(slot: str) -> str:
-    return f'slots/{slot}'
+    async def _seek(self, configuration: Configuration) -> None:
+        self._survey.clear()
+        candidates = await self._search.candidates(configuration, self._clock())
+        for slot, stored in candidates:
+            before = decode_claim(stored)
+            epoch = before.epoch + 1 if before else 1
+            claim = self._publication.sign(evolve(self._own, epoch=epoch))
+            sent_at = self._clock()
+            version = await write_claim(
+                self._platform, slot, claim, stored.version if stored else 0
+            )
+            if version is not None:
+                self._held = _Held(slot, version, claim, self._clock(), sent_at)
+                log_event(Event.SLOT_CLAIMED, slot, epoch=epoch)
+                return
 
 
-def _decode(stored: StoredObject) -> Claim | None:
-    """Return the claim, or ``None`` for content that is not one."""
-    try:
-        return Claim(**cbor2.loads(stored.content or b''))
-    except (TypeError, ValueError):
-        return None
+def _hold_time(configuration: Configuration | None) -> Nanoseconds:
+    return configuration.slot_hold_s * SECOND_NS if configuration else 0
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/slots.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/slots.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from geraniumshelf_core.messages.membership import Heartbeat
+from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.clock import current_time
 from geraniumshelf_daemon.membership.members import Members
 
@@ -14,7 +15,9 @@
     """Implements ``MembershipView`` over heartbeats."""
 
     _members: Members
-    _confirmed: dict[str, int] = field(factory=dict, init=False)
+    _confirmed: dict[str, tuple[Nanoseconds, int]] = field(
+        factory=dict, init=False
+    )
 
     def __attrs_post_init__(self) -> None:
         self._members.subscribe(self._note)
@@ -23,10 +26,17 @@
         """Return the instance by slot of live holders, own included."""
         return self._members.slot_holders(current_time())
 
-    def confirmed_revisions(self) -> Mapping[str, int]:
-        """Return the last confirmed revision by slot, for all ever seen."""
-        return self._confirmed
+    def confirmed_revisions(self, after: Nanoseconds) -> Mapping[str, int]:
+        """Return the last revision by slot in heartbeats after a time."""
+        return {
+            slot: revision
+            for slot, (heard_at, revision) in self._confirmed.items()
+            if heard_at > after
+        }
 
     def _note(self, _peer: str, heartbeat: Heartbeat) -> None:
         if heartbeat.slot:
-            self._confirmed[heartbeat.slot] = heartbeat.revision
+            self._confirmed[heartbeat.slot] = (
+                current_time(),
+                heartbeat.revision,
+            )
--- a/tests/core/allowance/test_floors.py
+++ b/tests/core/allowance/test_floors.py
@@ -11,6 +11,7 @@
 from geraniumshelf_core.allowance.layouts import (
     SETTLING_TIME,
     LayoutHistory,
+    UnlikeClaims,
 )
 from geraniumshelf_core.allowance.owners import account_owner, account_tags
 from geraniumshelf_core.units import MICRO_TOKENS
@@ -47,15 +48,21 @@
     """A share of a former layout may be in use, or out on loan for a term."""
     history = LayoutHistory()
     history.add(3, NINE)
-    history.note({'a/0': 2}, 0)
+    history.note(None, {}, 0)
+    history.note(UnlikeClaims({'a/0': 2}, 0), {'a/0': 2}, 0)
     assert history.in_force(SETTLING_TIME) == ()
     assert slot_floor(5, 5, 'a/0', ()) == Floor()
-    history.note({'a/0': 3}, 0)
-    history.add(4, NINE[:3])
+    history.note(UnlikeClaims({'a/0': 2}, 0), {'a/0': 3}, 0)
+    history.add(5, NINE[:3])
     assert history.in_force(SETTLING_TIME) == (NINE, NINE[:3])
-    history.note({'a/0': 4}, SETTLING_TIME)
+    for heard in ({'a/0': 4}, {'a/0': 6}, {}):
+        history.note(UnlikeClaims({'a/0': 3}, 0), heard, 0)
+    history.note(UnlikeClaims({'a/0': 6}, 0), {'a/0': 5}, 0)
+    history.note(UnlikeClaims({'a/0': 3}, 0), {'a/0': 5}, SETTLING_TIME)
     assert history.in_force(2 * SETTLING_TIME - 1) == (NINE, NINE[:3])
     assert history.in_force(2 * SETTLING_TIME) == (NINE[:3],)
+    history.restart()
+    assert history.in_force(9 * SETTLING_TIME) == ()
 
 
 @given(st.lists(st.integers(0, 10**10), max_size=20), st.integers(1, 10**9))
--- a/tests/core/allowance/test_invariant.py
+++ b/tests/core/allowance/test_invariant.py
@@ -20,6 +20,7 @@
 SLOTS = ('a/0', 'a/1', 'b/0', 'c/0')
 MORE_SLOTS = ('a/0', 'a/1', 'b/0', 'b/1', 'c/0', 'c/1')
 FEWER_SLOTS = ('a/0', 'b/0', 'c/0')
+TWO_SLOTS = ('a/0', 'b/0')
 HOLDERS = ['n0', 'n0', 'n1', 'n2']
 nodes = st.integers(0, NODES - 1)
 DELAYS = st.sampled_from((0, 0, 5, 500, 2500))
@@ -96,14 +97,14 @@
         else:
             self.world.give_back(self.world.nodes[node])
 
-    @rule(node=nodes, chance=st.integers(0, 3))
-    def restart(self, node: int, chance: int) -> None:
+    @rule(node=nodes, chance=st.integers(0, 3), frees=st.booleans())
+    def restart(self, node: int, chance: int, frees: bool) -> None:
         if chance == 1:
-            self.world.restart(self.world.nodes[node])
+            self.world.restart(self.world.nodes[node], frees=frees)
 
     @rule(
         totals=st.sampled_from((None, None, (60, 12), (5000, 12), (5000, 40))),
-        layout=st.sampled_from((SLOTS, MORE_SLOTS, FEWER_SLOTS)),
+        layout=st.sampled_from((SLOTS, MORE_SLOTS, FEWER_SLOTS, TWO_SLOTS)),
         node=nodes,
         chance=st.integers(0, 3),
     )
@@ -132,6 +133,13 @@
             )
         self.world.hear(self.world.nodes[node], self.world.nodes[other])
 
+    @rule(node=nodes, publishes=st.booleans(), lists=st.booleans())
+    def claim(self, node: int, publishes: bool, lists: bool) -> None:
+        if publishes:
+            self.world.publish(self.world.nodes[node])
+        if lists:
+            self.world.survey(self.world.nodes[node])
+
     @rule(node=nodes, hops=st.integers(1, NODES - 1), tokens=st.integers(1, 5))
     def use_tokens(self, node: int, hops: int, tokens: int) -> None:
         """Fetch tokens, use some and settle within the term."""
@@ -164,6 +172,7 @@
         for node in range(NODES):
             for hops in range(NODES):
                 self.hear(node, hops)
+            self.claim(node, True, True)
         self.advance(1000)
 
     @invariant()
@@ -264,12 +273,31 @@
     for node in world.nodes:
         world.adopt(node, 2)
     for node in world.nodes:
+        world.publish(node)
         for other in world.nodes:
             world.hear(node, other)
+    for node in world.nodes:
+        world.survey(node)
     world.advance(SECOND_NS)
     world.probe()
 
 
+def test_new_daemon_knows_a_former_layout_from_claims() -> None:
+    """A holder that is cut off would use a share of another layout."""
+    world = World([0] * 3, Revision(5000, 40, SLOTS), HOLDERS)
+    world.revisions.append(Revision(5000, 40, TWO_SLOTS))
+    for node in world.nodes[:2]:
+        world.restart(node)
+        world.publish(node)
+        world.survey(node)
+    for _ in range(3):
+        for number in (0, 1):
+            world.hear(world.nodes[number], world.nodes[1 - number])
+        world.hear(world.nodes[2], world.nodes[2])
+        world.advance(5 * SECOND_NS)
+    world.probe()
+
+
 @pytest.mark.parametrize('broken', [False, True])
 def test_term_from_receipt_is_caught(broken: bool) -> None:
     """The check would be worthless if it missed a late end of a loan."""
--- a/tests/core/allowance/world.py
+++ b/tests/core/allowance/world.py
@@ -12,7 +12,11 @@
     Layout,
     slot_floor,
 )
-from geraniumshelf_core.allowance.layouts import LayoutHistory
+from geraniumshelf_core.allowance.layouts import (
+    LayoutHistory,
+    UnlikeClaims,
+    layout_digest,
+)
 from geraniumshelf_core.allowance.state import (
     FLOOR_TERM,
     QUARANTINE,
@@ -48,7 +52,9 @@
     usable_at: int = 0
     layouts: LayoutHistory = Factory(LayoutHistory)
     revision: int = 0
-    confirmed: dict[str, int] = Factory(dict)
+    heard: dict[str, int] = Factory(dict)
+    claimed: int = 0
+    unlike: UnlikeClaims | None = None
     asked: dict[int, int] = Factory(dict)
     settled: list[tuple[str, int]] = Factory(list)
 
@@ -68,6 +74,7 @@
         self.borrower_counts_from_receipt = False
         self.revisions = [Revision(0, 0, ()), first]
         self.mail: list[Callable[[], None]] = []
+        self.claims: dict[str, tuple[str, int]] = {}
         self.admitted: list[tuple[int, int]] = []
         self.periods: list[list[int]] = []
         self.nodes: list[Node] = []
@@ -81,8 +88,8 @@
             self.nodes.append(node)
             self.restart(node)
         for node in self.nodes:
-            for other in self.nodes:
-                self.hear(node, other)
+            self.publish(node)
+            self.survey(node)
         self.advance(QUARANTINE * 2)
 
     def clock(self, node: Node) -> int:
@@ -91,20 +98,21 @@
     def advance(self, nanoseconds: int) -> None:
         self.now += nanoseconds
 
-    def restart(self, node: Node) -> None:
-        """Lose all state; the slots are taken over with quarantine."""
+    def restart(self, node: Node, *, frees: bool = False) -> None:
+        """Lose all state; the slots are claimed anew with quarantine."""
         self.counter += 1000
         self.close(node)
         node.book = Book(self.counter)
         node.book.limit(ACCOUNT, self.clock(node))
-        node.usable_at = self.clock(node) + QUARANTINE
+        node.claimed = 0
+        node.unlike = None
         node.layouts = LayoutHistory()
         node.asked.clear()
         node.settled.clear()
-        node.confirmed = dict.fromkeys(
-            (slot for each in self.nodes for slot in each.slots), 0
-        )
+        node.heard = {}
         node.revision = 0
+        for slot in node.slots if frees else ():
+            self.claims.pop(slot, None)
         self.adopt(node, len(self.revisions) - 1)
 
     def adopt(self, node: Node, revision: int) -> None:
@@ -113,8 +121,33 @@
         self.close(node)
         self.periods.append([revision, self.now, -1, int(node.name[1:])])
         node.revision = revision
+        since = node.layouts.since
         node.layouts.add(revision, self.revisions[revision].layout)
-        self.hear(node, node)
+        if since != node.layouts.since:
+            node.unlike = None
+        self.refresh(node)
+
+    def publish(self, node: Node) -> None:
+        """Write the layout into the claims, which may be new."""
+        if node.claimed == 0:
+            node.usable_at = self.clock(node) + QUARANTINE
+        node.claimed = node.revision
+        digest = layout_digest(self.revisions[node.revision].layout)
+        for slot in node.slots:
+            self.claims[slot] = (digest, node.revision)
+
+    def survey(self, node: Node) -> None:
+        """List the claims that show another layout."""
+        if node.layouts.since <= node.claimed:
+            shown = layout_digest(self.revisions[node.revision].layout)
+            revisions = {
+                slot: revision
+                for slot, (digest, revision) in self.claims.items()
+                if digest != shown and slot not in node.slots
+            }
+            node.unlike = UnlikeClaims(revisions, self.clock(node))
+            node.heard.clear()
+            self.refresh(node)
 
     def close(self, node: Node) -> None:
         for period in self.periods:
@@ -124,17 +157,15 @@
     def hear(self, node: Node, other: Node) -> None:
         """Receive a heartbeat that confirms a revision."""
         for slot in other.slots:
-            node.confirmed[slot] = max(
-                node.confirmed.get(slot, 0), other.revision
-            )
+            node.heard[slot] = other.revision
         self.refresh(node)
 
     def refresh(self, node: Node) -> None:
         totals = self.revisions[node.revision]
-        node.layouts.note(node.confirmed, self.clock(node))
+        node.layouts.note(node.unlike, node.heard, self.clock(node))
         layouts = node.layouts.in_force(self.clock(node))
         floor = Floor()
-        if self.clock(node) >= node.usable_at:
+        if node.claimed and self.clock(node) >= node.usable_at:
             floors = [
                 slot_floor(totals.rate, totals.burst, slot, layouts)
                 for slot in node.slots
--- a/tests/daemon/slots/test_claims.py
+++ b/tests/daemon/slots/test_claims.py
@@ -1,10 +1,13 @@
 """Guards slots against two holders and lost answers."""
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
+from attrs import define
 
 from geraniumshelf_core.allowance.claims import Claim
+from geraniumshelf_core.allowance.layouts import UnlikeClaims
 from geraniumshelf_core.allowance.state import QUARANTINE
 from geraniumshelf_core.configuration.model import Configuration, Zone
 from geraniumshelf_core.errors import PlatformError, ResultCode
@@ -64,13 +67,20 @@
         self.objects.pop(name)
 
 
+@define(eq=False)
 class Source:
-    """One zone with one slot."""
+    """One zone with some slots."""
 
-    revision = 1
-    configuration = Configuration(
-        'test', zones=(Zone('a', 'r', 1),), slot_hold_s=HOLD_S
-    )
+    slots: int = 1
+    revision: int = 1
+
+    @property
+    def configuration(self) -> Configuration:
+        zones = (Zone('a', 'r', self.slots),)
+        return Configuration('test', zones=zones, slot_hold_s=HOLD_S)
+
+    def subscribe(self, listener: Callable[[Configuration], None]) -> None:
+        """The claims look at each step, too."""
 
 
 class Site:
@@ -80,9 +90,13 @@
         self.now = 10**12
         self.platform = Platform()
 
-    def claims(self, address: str, incarnation: int) -> SlotClaims:
+    def claims(
+        self, address: str, incarnation: int, source: Source | None = None
+    ) -> SlotClaims:
         own = Claim(address, address, incarnation, 0)
-        return SlotClaims('a', own, lambda: self.now, self.platform, Source())
+        return SlotClaims(
+            'a', own, lambda: self.now, self.platform, source or Source()
+        )
 
     def pass_time(self, seconds: int, *claimants: SlotClaims) -> None:
         for _ in range(seconds // 60):
@@ -185,3 +199,48 @@
     other = site.claims('2:2', 6)
     step(other)
     assert other.slot == 'a/0'
+
+
+def test_claims_of_another_layout_are_seen_until_unused(site: Site) -> None:
+    """A holder that is cut off may use a share of a former layout."""
+    sources = [Source(slots=2), Source(slots=2)]
+    first, second = (
+        site.claims(f'{number}:1', number, source)
+        for number, source in enumerate(sources)
+    )
+    for each in (first, second, first):
+        step(each)
+        assert each.unlike_claims(1) == UnlikeClaims({}, 0)
+    sources[1].slots, sources[1].revision = 3, 2
+    assert first.unlike_claims(2) is None
+    step(second)
+    assert second.unlike_claims(2) == UnlikeClaims({'a/0': 1}, site.now)
+    third = site.claims('3:1', 3, sources[0])
+    sources[0].slots, sources[0].revision = 3, 3
+    step(third)
+    assert third.unlike_claims(3) == UnlikeClaims({'a/0': 1}, site.now)
+    step(first)
+    site.now += 1
+    step(second)
+    step(third)
+    assert second.unlike_claims(2) == UnlikeClaims({}, 0)
+    assert third.unlike_claims(3) == UnlikeClaims({}, 0)
+
+
+def test_claim_unchanged_for_the_hold_time_counts_as_unused(
+    site: Site,
+) -> None:
+    """An instance that vanished must not stop the others for good."""
+    source = Source(slots=2)
+    former = site.claims('1:1', 1, source)
+    step(former)
+    other = site.claims('2:2', 2, Source(slots=3, revision=2))
+    step(other)
+    site.pass_time(60, other)
+    while former.usable_slots():
+        assert other.unlike_claims(2) == UnlikeClaims({'a/0': 1}, 10**12)
+        site.pass_time(60, other)
+    site.pass_time(120, other)
+    assert other.unlike_claims(2) == UnlikeClaims({}, 0)
+    step(former)
+    assert not former.slot
--- a/tools/allowance_trial.py
+++ b/tools/allowance_trial.py
@@ -16,6 +16,7 @@
 from attrs import Factory, define
 
 from geraniumshelf_core.allowance.bucket import Bucket
+from geraniumshelf_core.allowance.layouts import UnlikeClaims
 from geraniumshelf_core.configuration.model import (
     ClientAccount,
     Configuration,
@@ -82,7 +83,7 @@
         """Return all slots with their holders."""
         return self.holders
 
-    def confirmed_revisions(self) -> Mapping[str, int]:
+    def confirmed_revisions(self, after: int) -> Mapping[str, int]:
         """Return one revision for all slots."""
         return dict.fromkeys(self.holders, self.revision)
 
@@ -97,6 +98,14 @@
         """Return the slot."""
         return self.slots
 
+    def claim_number(self) -> tuple[str, int]:
+        """Return a claim that never changes."""
+        return (self.slots[0], 1)
+
+    def unlike_claims(self, since: int) -> UnlikeClaims:
+        """Return no claims, because all daemons have one layout."""
+        return UnlikeClaims({}, 0)
+
 
 class Fleet:
     """Nine services on in-memory links."""
