Keep neighbouring client blocks of a region apart

Networks of one region that follow each other were merged into one block, so all of them had one point and a drain moved all of their clients in one step. Seen as 250 of 250 clients moving at once under a cap of 20%; the plan's own revisions kept the cap, so only the mapping was at fault.

--- a/tests/core/lookup/test_blocks.py
+++ b/tests/core/lookup/test_blocks.py
@@ -50,6 +50,14 @@
     assert table.find(0) == (0, 2)
 
 
+def test_neighbouring_networks_of_a_site_stay_apart() -> None:
+    """One block for many networks would move all of them in one step."""
+    networks = [Network(number << 8, 24, 3) for number in range(8, 12)]
+    table = build_table(networks)
+    starts = [table.find(row.start + 9)[0] for row in networks]
+    assert starts == [row.start for row in networks]
+
+
 @pytest.mark.parametrize(
     'network',
     [
