Repeat writes of parts whose answer was lost

A lost answer to the write of a part failed the whole command with PLATFORM_UNREACHABLE, although parts are named by their content and safe to write again.

--- a/packages/cli/src/geraniumshelf_cli/publishing.py
+++ b/packages/cli/src/geraniumshelf_cli/publishing.py
@@ -181,7 +181,9 @@
             for digest, part in parts.items()
             if digest not in stored.head.digests
         }
-        await self._write_parts(added)
+        # Parts are named by their content, so a write whose answer was lost
+        # is safe to repeat.
+        await self._write_parts_again(added)
         match await self._replace_head(stored.version, encoded, head):
             case _Outcome.LOST_RACE:
                 return None
