Measure the traffic that the plan steers by

Nothing called the meter of demand, so each plan counted no traffic: a drain moved all of a region's traffic into one without room for it, and the cap was taken of each source. The reports of servers were right, which rules out the collector. Count each admitted request by the region of its client.

--- a/packages/daemon/src/geraniumshelf_daemon/lookups/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/lookups/service.py
@@ -100,6 +100,15 @@
         rotation = turn % self._rotations_of(destination)
         return self._prepare(_Answer(service, destination, source, rotation))
 
+    def region_of(self, client: str) -> str:
+        """Return the region of a client address.
+
+        Raises:
+            RequestRefused: ``NOT_READY`` while there is no configuration.
+        """
+        self._refresh()
+        return self._locate(client)[0]
+
     def _refresh(self) -> None:
         state = (
             self._configurations.revision,
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/data_path.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/data_path.py
@@ -10,7 +10,6 @@
 from geraniumshelf_daemon.clock import current_time
 from geraniumshelf_daemon.failover.budget import FailoverBudget
 from geraniumshelf_daemon.front.admission import Gate
-from geraniumshelf_daemon.front.forwarding import Forwarder
 from geraniumshelf_daemon.front.front import Front
 from geraniumshelf_daemon.front.pipeline import Pipeline, Sources
 from geraniumshelf_daemon.upstream.dispatcher import Dispatcher
@@ -19,6 +18,7 @@
 from geraniumshelf_daemon.wiring.control import ControlPlane
 from geraniumshelf_daemon.wiring.keys import KeyTable
 from geraniumshelf_daemon.wiring.limits import Limits
+from geraniumshelf_daemon.wiring.metering import MeteredForwarder
 from geraniumshelf_daemon.wiring.steering import Steering
 
 _IDLE_CONNECTIONS: Final = 32
@@ -42,11 +42,13 @@
             current_time,
             Random(hello.incarnation),
         )
-        forwarder = Forwarder(
+        forwarder = MeteredForwarder(
             self._dispatcher,
             ConnectionPool(_IDLE_CONNECTIONS, SECOND_NS),
             pacer,
             current_time,
+            meter=steering.collector.meter,
+            find_region=steering.lookups.region_of,
         )
         sources = Sources(
             gate,
--- a/tests/daemon/lookups/test_service.py
+++ b/tests/daemon/lookups/test_service.py
@@ -135,3 +135,11 @@
     with pytest.raises(RequestRefused) as caught:
         service.answer('t', '10.1.2.3', 0)
     assert caught.value.code is ResultCode.UNKNOWN_SERVICE
+
+
+def test_region_of_a_client_needs_no_earlier_look_up(sources) -> None:
+    """Traffic of an unknown source would be moved as if it were none."""
+    service = LookupService(sources, sources, sources, 'home')
+    assert service.region_of('10.9.1.1') == 'b'
+    assert service.region_of('10.8.1.1') == 'a'
+    assert service.region_of('192.0.2.1') == 'home'
