--- a/packages/daemon/src/geraniumshelf_daemon/lookups/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/lookups/service.py
@@ -101,7 +101,12 @@
         return self._prepare(_Answer(service, destination, source, rotation))
 
     def region_of(self, client: str) -> str:
-        """Return the region nearest to a client address."""
+        """Return the region of a client address.
+
+        Raises:
+            RequestRefused: ``NOT_READY`` while there is no configuration.
+        """
+        self._refresh()
         return self._locate(client)[0]
 
     def _refresh(self) -> None:
