Keep neighbouring client blocks of a site apart

The block table merged adjacent blocks of one region. Each declared block now keeps its own start. The new test failed before.

--- a/packages/core/src/geraniumshelf_core/lookup/blocks.py
+++ b/packages/core/src/geraniumshelf_core/lookup/blocks.py
@@ -122,6 +122,7 @@
     if table.starts[-1] == start:
         table.starts.pop()
         table.sites.pop()
-    if not table.sites or table.sites[-1] != site:
-        table.starts.append(start)
-        table.sites.append(site)
+    # Neighbours of one site stay apart: each has its own point, and a plan
+    # step moves single blocks.
+    table.starts.append(start)
+    table.sites.append(site)
--- a/tests/core/lookup/test_blocks.py
+++ b/tests/core/lookup/test_blocks.py
@@ -63,3 +63,10 @@
     """A packed number that overflows would corrupt its neighbours."""
     with pytest.raises(ConfigurationError):
         build_table([network])
+
+
+def test_neighbouring_blocks_of_a_site_stay_apart() -> None:
+    """A merged block has one point, so a plan step would move it whole."""
+    table = build_table([Network(n << 8, 24, 5) for n in range(4)])
+    starts = {table.find(n << 8 | 7)[0] for n in range(4)}
+    assert starts == {n << 8 for n in range(4)}
