Send short answers in one write

Head and body of a look-up answer or refusal were written separately, with two system calls each. They now go in one.

--- a/packages/daemon/src/geraniumshelf_daemon/front/reply.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/reply.py
@@ -53,15 +53,19 @@
         return self._has_begun
 
     async def begin(
-        self, status: int, reason: str, headers: HTTPHeaders
+        self,
+        status: int,
+        reason: str,
+        headers: HTTPHeaders,
+        chunk: bytes | None = None,
     ) -> None:
-        """Write the head of the answer."""
+        """Write the head of the answer, and a first chunk in one call."""
         self._has_begun = True
         self._closes = self._must_close(headers)
         if self._closes:
             headers['Connection'] = 'close'
         await self._connection.write_headers(
-            ResponseStartLine('HTTP/1.1', status, reason), headers
+            ResponseStartLine('HTTP/1.1', status, reason), headers, chunk
         )
 
     async def write(self, chunk: bytes) -> None:
@@ -88,9 +92,8 @@
         self, status: int, reason: str, headers: HTTPHeaders, body: bytes
     ) -> None:
         """Write a whole answer; the headers hold its length in bytes."""
-        await self.begin(status, reason, headers)
-        if body and not self._has_no_body():
-            await self.write(body)
+        chunk = None if self._has_no_body() else body
+        await self.begin(status, reason, headers, chunk or None)
         await self.end()
 
     def abort(self) -> None:
