--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -6,6 +6,8 @@
 from secrets import randbits
 from typing import Any, Final
 
+from attrs import asdict
+
 from geraniumshelf_core.configuration.model import Configuration
 from geraniumshelf_core.idempotency.request_id import current_window
 from geraniumshelf_core.messages.membership import Hello
@@ -107,6 +109,10 @@
             'watcher': members.is_watcher(now),
             'running': self._data_path.front.running_count,
             'peers': list(self._control.links.connected()),
+            'traffic': {
+                'peers': asdict(self._control.links.traffic),
+                'platform': asdict(self._control.platform.traffic),
+            },
             'plans': {
                 plan.service: plan.revision
                 for plan in self._steering.plans.plans()
--- a/packages/daemon/src/geraniumshelf_daemon/peers/link.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/link.py
@@ -13,6 +13,7 @@
 from geraniumshelf_core.timeline.clock import LogicalClock
 from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.observability.traffic import Traffic
 from geraniumshelf_daemon.peers.interface import Handler
 
 SILENCE_LIMIT_S: Final = 3.0
@@ -38,12 +39,14 @@
         is_dialer: bool,
         clock: LogicalClock,
         handlers: Mapping[type, Handler],
+        traffic: Traffic,
     ) -> None:
         self.hello = hello
         self.is_dialer = is_dialer
         self._connection = connection
         self._clock = clock
         self._handlers = handlers
+        self._traffic = traffic
         self._last_request = 1 if is_dialer else 2
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(_QUEUE_FRAMES)
@@ -108,6 +111,7 @@
         while True:
             async with asyncio.timeout(SILENCE_LIMIT_S):
                 encoded = await self._connection.recv()
+            self._traffic.count_received(len(encoded))
             frame = decode_frame(encoded)  # type: ignore[arg-type]
             if isinstance(frame.message, Hello):
                 raise PeerError(ResultCode.PEER_FRAME_MALFORMED, 'second Hello')
@@ -122,6 +126,7 @@
             except ConnectionClosed:
                 return
             self._queued_bytes -= len(encoded)
+            self._traffic.count_sent(len(encoded))
 
     def _accept(self, frame: Frame) -> None:
         number = frame.correlation
--- a/packages/daemon/src/geraniumshelf_daemon/peers/links.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/links.py
@@ -14,6 +14,7 @@
 from geraniumshelf_core.messages.membership import Heartbeat, Hello
 from geraniumshelf_core.timeline.clock import LogicalClock
 from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.observability.traffic import Traffic
 from geraniumshelf_daemon.peers.dialer import (
     CLOSE_TIMEOUT_S,
     OPEN_TIMEOUT_S,
@@ -58,6 +59,7 @@
             clock: Logical clock of the daemon.
             source_address: Local IP address to dial from.
         """
+        self.traffic = Traffic()
         self._own = own
         self._heartbeat = heartbeat
         self._clock = LogicalClock() if clock is None else clock
@@ -162,6 +164,7 @@
             is_dialer=is_dialer,
             clock=self._clock,
             handlers=self._handlers,
+            traffic=self.traffic,
         )
         return await self._use(link, connection)
 
--- a/packages/daemon/src/geraniumshelf_daemon/platform/http.py
+++ b/packages/daemon/src/geraniumshelf_daemon/platform/http.py
@@ -17,6 +17,7 @@
 from tornado.tcpclient import TCPClient
 
 from geraniumshelf_core.errors import PlatformError, ResultCode
+from geraniumshelf_daemon.observability.traffic import Traffic
 from geraniumshelf_daemon.platform.interface import (
     ListedInstance,
     Snapshot,
@@ -52,6 +53,7 @@
             base_url: URL without a trailing slash, ``http://10.0.0.9:80``.
             source_address: Local IP address to call from.
         """
+        self.traffic = Traffic()
         self._base_url = base_url
         self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
             force_instance=True
@@ -133,6 +135,7 @@
             request_timeout=timeout_s,
             follow_redirects=False,
         )
+        self.traffic.count_sent(len(path) + len(body or b''))
         fetched = self._client.fetch(request, raise_error=False)
         # Tornado logs the error of a cancelled call as a fault of the program,
         # so a call whose caller goes away ends on its own.
@@ -143,6 +146,7 @@
             raise PlatformError(
                 ResultCode.PLATFORM_UNREACHABLE, f'{method} {path}: {error}'
             ) from error
+        self.traffic.count_received(len(response.body))
         _check_status(response, f'{method} {path}')
         return response
 
--- a/tests/daemon/peers/test_links.py
+++ b/tests/daemon/peers/test_links.py
@@ -232,3 +232,20 @@
         assert node.seen == [first.hello, second.hello]
 
     run_scenario(scenario)
+
+
+def test_traffic_counts_both_directions() -> None:
+    """Uncounted bytes would hide that the control plane exceeds its bound."""
+
+    async def scenario(stack: AsyncExitStack) -> None:
+        one = await stack.enter_async_context(_Node('one'))
+        two = await stack.enter_async_context(_Node('two'))
+        one.links.set_targets([two.address])
+        await until(lambda: bool(one.links.connected()))
+        await one.links.request('two', _ASK, 5 * SECOND_NS)
+        sent = one.links.traffic.bytes_sent
+        await until(lambda: two.links.traffic.bytes_received >= sent)
+        assert one.links.traffic.messages_received >= 2
+        assert sent > 2 * len(encode_frame(Frame(1, 1, _ASK)))
+
+    run_scenario(scenario)
