--- /dev/null
+++ b/tools/trial/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments of processes for measurements."""
