--- /dev/null
+++ b/tools/measurements/sizes.py
@@ -0,0 +1,178 @@
+"""Sizes of objects and frames, and costs of decisions, at the design size."""
+
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import cbor2
+
+from geraniumshelf_core.allowance.floors import slot_floor
+from geraniumshelf_core.allowance.owners import ranked
+from geraniumshelf_core.codec import Frame, encode_frame
+from geraniumshelf_core.configuration.head import (
+    RECENT_APPLY_IDS,
+    Head,
+    RetiredPart,
+    encode_head,
+)
+from geraniumshelf_core.configuration.model import ClientBlock, Configuration
+from geraniumshelf_core.configuration.parts import join_parts, split_parts
+from geraniumshelf_core.lookup.shares import initial_shares
+from geraniumshelf_core.messages.membership import Heartbeat
+from geraniumshelf_core.messages.steering import DemandReport, LoadReport
+from geraniumshelf_core.plan.model import Plan, SourcePlan, encode_plan
+from geraniumshelf_core.plan.target import scale_weights
+from tools.measurements.registry import Reading, measurement
+
+_DAEMONS = 4700
+_ZONES = 60
+_REGIONS = 22
+_OBJECT_BYTES = 1_000_000
+# 512 parts of client blocks, 144 of keys and accounts, about ten others.
+_PARTS = 666
+_RETIRED = 32
+_BLOCKS = 30_000
+_SERVICES = 4
+_CLOCK = 1 << 40
+_REGION_NAMES = tuple(f'region-{number:02}' for number in range(_REGIONS))
+
+
+@measurement('design-sizes')
+def measure_sizes() -> tuple[Reading, ...]:
+    """Measure objects and frames with names of a usual length."""
+    frames = {
+        'heartbeat': Heartbeat(
+            1 << 62, 100_000, 26_000, 'region-01-a/77', 29_700_000, False, 800
+        ),
+        'load report of four servers': LoadReport(
+            _ORIGIN,
+            1000,
+            11,
+            0,
+            tuple((f's-{n}-region-01-a', 5, 7, 0) for n in range(_SERVICES)),
+        ),
+        'demand report, idle': DemandReport(
+            _ORIGIN[:14], _ORIGIN, 1000, 11, ()
+        ),
+        'demand report of four services': DemandReport(
+            _ORIGIN[:14],
+            _ORIGIN,
+            1000,
+            11,
+            tuple((f's-{n}', 'region-01', 1_500_000) for n in range(_SERVICES)),
+        ),
+    }
+    return (
+        _object('configuration head of 666 parts', encode_head(_head())),
+        _object('plan of 22 regions, whole intervals', encode_plan(_plan())),
+        _object('instance list of 4,700', cbor2.dumps(_instances())),
+        *(
+            Reading(
+                f'size of a {name}',
+                len(encode_frame(Frame(_CLOCK, 0, message))),
+                'B',
+            )
+            for name, message in frames.items()
+        ),
+    )
+
+
+@measurement('design-costs')
+def measure_costs() -> tuple[Reading, ...]:
+    """Measure what a membership or configuration change costs a daemon."""
+    names = [row[0] for row in _instances()]
+    layout = tuple(f'{row[1]}/{n}' for n, row in enumerate(_instances()))
+    blocks = tuple(
+        ClientBlock(
+            f'10.{n >> 12}.{n >> 4 & 255}.{(n & 15) * 16}/28',
+            _REGION_NAMES[n % _REGIONS],
+        )
+        for n in range(_BLOCKS)
+    )
+    parts = split_parts(Configuration('d', blocks=blocks))
+    del blocks
+    join_s = _time(lambda: join_parts(parts, parts))
+    tracemalloc.start()
+    kept = join_parts(parts, parts)
+    grown = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    encoded = sum(map(len, parts.values()))
+    return (
+        Reading(
+            'owner of an account among 4,700 holders',
+            _time(lambda: ranked('account-1', names)) * 1e3,
+            'ms',
+        ),
+        Reading(
+            'floor of an account among 4,700 slots',
+            _time(lambda: slot_floor(100, 100, layout[2000], (layout,))) * 1e6,
+            'us',
+        ),
+        Reading(
+            'configuration: time to decode a client block',
+            join_s / _BLOCKS * 1e6,
+            'us',
+            note=f'{_BLOCKS} blocks',
+        ),
+        Reading(
+            'configuration: memory of a decoded client block',
+            grown / _BLOCKS,
+            'B',
+            note=f'traced allocations, {_BLOCKS} blocks',
+        ),
+        Reading('configuration: encoded client block', encoded / _BLOCKS, 'B'),
+    )
+
+
+_ORIGIN = 'region-01-a-77.4611686018427387904'
+
+
+def _object(name: str, encoded: bytes) -> Reading:
+    return Reading(
+        f'size of the {name}', len(encoded), 'B', target=_OBJECT_BYTES
+    )
+
+
+def _head() -> Head:
+    return Head(
+        26_000,
+        tuple(f'{number:064x}' for number in range(_PARTS)),
+        tuple(f'{number:024x}' for number in range(RECENT_APPLY_IDS)),
+        tuple(
+            RetiredPart(f'{number:064x}', 25_990) for number in range(_RETIRED)
+        ),
+    )
+
+
+def _plan() -> Plan:
+    weights = scale_weights(
+        {name: number + 1 for number, name in enumerate(_REGION_NAMES)}
+    )
+    failover = tuple((name, 10_000) for name in _REGION_NAMES)
+    return Plan(
+        'service',
+        10,
+        'f' * 32,
+        tuple(
+            SourcePlan(name, initial_shares(weights), failover)
+            for name in _REGION_NAMES
+        ),
+    )
+
+
+def _instances() -> tuple[tuple[str, str, str, bool], ...]:
+    rows = []
+    for number in range(_DAEMONS):
+        zone_number = number % _ZONES
+        region = _REGION_NAMES[zone_number % _REGIONS]
+        zone = f'{region}-{"abc"[zone_number // _REGIONS]}'
+        address = f'10.{zone_number}.{number // 256}.{number % 256}:18001'
+        rows.append((f'{zone}-{number // _ZONES}', zone, address, False))
+    return tuple(rows)
+
+
+def _time(work: Callable[[], object]) -> float:
+    start = time.process_time()
+    work()
+    return time.process_time() - start
