Check rows, index loans by number and settle used tokens sooner

Malformed rows in messages about allowances failed halfway, after some changes; they are now refused as a whole. Used tokens are reported after 5 ms instead of 50 ms, because their capacity refills nowhere until then, and a request may wait for up to 300 ms. tokens_requested and loans_out are sent.

--- a/packages/core/src/geraniumshelf_core/allowance/commands.py
+++ b/packages/core/src/geraniumshelf_core/allowance/commands.py
@@ -190,10 +190,24 @@
     _resize(limit)
 
 
+def forget_ended(book: Book, now: Nanoseconds) -> int:
+    """Drop the numbers of loans that are no longer out.
+
+    Returns:
+        How many loans are out.
+    """
+    for number, limit in tuple(book.lent_at.items()):
+        advance(limit, now)
+        if all(loan.loan_id != number for loan in limit.lent):
+            book.lent_at.pop(number)
+    return len(book.lent_at)
+
+
 def _hand_over(book: Book, limit: Limit, loan: Loan, tokens: int) -> Grant:
     book.next_loan_id += 1
     limit.bucket.take(tokens)
     limit.lent.append(loan)
+    book.lent_at[loan.loan_id] = limit
     _resize(limit)
     return Grant(evolve(loan), tokens)
 
--- a/packages/core/src/geraniumshelf_core/allowance/state.py
+++ b/packages/core/src/geraniumshelf_core/allowance/state.py
@@ -76,10 +76,12 @@
         next_loan_id: Number of the next loan; starts at random, so that a
             delayed message for a predecessor names no loan of this run.
         limits: Limits by account name.
+        lent_at: Limits by number of a loan that may be out.
     """
 
     next_loan_id: int
     limits: dict[str, Limit] = Factory(dict)
+    lent_at: dict[int, Limit] = Factory(dict)
 
     def limit(self, account: str, now: Nanoseconds) -> Limit:
         """Return the limit of an account; a new one starts empty."""
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/lender.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/lender.py
@@ -12,6 +12,10 @@
     TokenSettled,
 )
 from geraniumshelf_core.units import MICRO_TOKENS, MILLISECOND_NS
+from geraniumshelf_daemon.allowances.checks import (
+    check_notes,
+    check_numbers,
+)
 from geraniumshelf_daemon.allowances.queue import LONGEST_WAIT, TokenQueue
 from geraniumshelf_daemon.allowances.shares import Shares
 from geraniumshelf_daemon.peers.interface import PeerNetwork
@@ -33,6 +37,7 @@
         self._network.register(TokenSettled, self._settle)
 
     async def _lend(self, peer: str, request: TokenRequest) -> TokenGrant:
+        check_numbers((request.count, request.prefetch, request.wait_ms))
         await self._settle(peer, TokenSettled(request.settled))
         account = self._shares.tags.get(request.account)
         if account is None:
@@ -68,8 +73,10 @@
         return max(0, spare // MICRO_TOKENS)
 
     async def _settle(self, peer: str, message: TokenSettled) -> None:
+        check_notes(message.settled)
         now = self._shares.clock()
         for number, count in message.settled:
-            for limit in self._shares.book.limits.values():
-                used = max(0, count) * MICRO_TOKENS
+            limit = self._shares.book.lent_at.get(number)
+            if limit is not None:
+                used = count * MICRO_TOKENS
                 commands.settle(limit, peer, number, used, now)
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/lending.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/lending.py
@@ -8,13 +8,18 @@
 
 from geraniumshelf_core.allowance import commands
 from geraniumshelf_core.allowance.state import FLOOR_TERM, Limit, Loan
-from geraniumshelf_core.errors import PeerError, ResultCode
+from geraniumshelf_core.errors import PeerError
 from geraniumshelf_core.messages.allowance import (
     LoanGrant,
     LoanRequest,
     LoanReturn,
 )
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+from geraniumshelf_daemon.allowances.checks import (
+    check_grant,
+    check_notes,
+    check_numbers,
+)
 from geraniumshelf_daemon.allowances.shares import Shares
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.peers.interface import PeerNetwork
@@ -45,34 +50,37 @@
 
     def is_changed(self) -> bool:
         """Tell whether members or owners changed since the last round."""
-        return self._signature() != self._terms
+        return self._shares.signature() != self._terms
 
     async def renew(self) -> None:
         """Return what is owned no longer; borrow and renew the rest."""
-        self._terms = self._signature()
+        self._terms = self._shares.signature()
         wanted = self._shares.lenders()
         self._give_back(wanted)
+        held = self._held()
         await asyncio.gather(
-            *(self._borrow(lender, tags) for lender, tags in wanted.items())
+            *(
+                self._borrow(lender, tags, held.get(lender, {}))
+                for lender, tags in wanted.items()
+            )
         )
 
     def return_all(self) -> None:
         """Give all borrowed floors back, at a graceful stop."""
         self._give_back({})
 
-    def _signature(self) -> tuple[Any, ...]:
-        return (
-            self._shares.source.revision,
-            tuple(self._shares.lenders().items()),
-        )
-
-    async def _borrow(self, lender: str, tags: tuple[int, ...]) -> None:
-        held = {
-            loan.loan_id: limit
-            for limit in self._shares.book.limits.values()
-            for loan in limit.borrowed
-            if loan.peer == lender and not loan.is_token
-        }
+    def _held(self) -> dict[str, dict[int, Limit]]:
+        """Return the limits with borrowed floors by lender and number."""
+        held: dict[str, dict[int, Limit]] = {}
+        for limit in self._shares.book.limits.values():
+            for loan in limit.borrowed:
+                if not loan.is_token:
+                    held.setdefault(loan.peer, {})[loan.loan_id] = limit
+        return held
+
+    async def _borrow(
+        self, lender: str, tags: tuple[int, ...], held: dict[int, Limit]
+    ) -> None:
         if not held and not tags:
             return
         ends_at = self._shares.clock() + FLOOR_TERM
@@ -80,6 +88,7 @@
             grant = await self._network.request(
                 lender, LoanRequest(tuple(held), tags), _ANSWER_TIMEOUT
             )
+            check_grant(grant)
         except PeerError:
             return
         self._accept(lender, grant, held, ends_at)
@@ -128,17 +137,23 @@
             self._network.notify(peer, LoanReturn(tuple(notes)))
 
     async def _lend(self, peer: str, request: LoanRequest) -> LoanGrant:
+        check_numbers(request.held, request.wanted)
         self._shares.refresh()
         now = self._shares.clock()
+        lent_at = self._shares.book.lent_at
+        limits = {
+            number: lent_at[number]
+            for number in request.held
+            if number in lent_at
+        }
         before = {
             (lent.loan_id, lent.rate, lent.capacity)
-            for limit in self._shares.book.limits.values()
+            for limit in limits.values()
             for lent in limit.lent
         }
         loans = [
             commands.renew(limit, number, peer, now)
-            for number in request.held
-            for limit in self._shares.book.limits.values()
+            for number, limit in limits.items()
         ]
         sizes = [
             (loan.loan_id, loan.rate, loan.capacity)
@@ -171,13 +186,11 @@
                 )
 
     async def _take_back(self, peer: str, message: LoanReturn) -> None:
+        check_notes(message.returned)
         now = self._shares.clock()
         for number, tokens in message.returned:
-            if tokens < 0:
-                raise PeerError(
-                    ResultCode.PEER_FRAME_MALFORMED, 'negative tokens'
-                )
-            for limit in self._shares.book.limits.values():
+            limit = self._shares.book.lent_at.get(number)
+            if limit is not None:
                 commands.take_back(limit, peer, number, tokens, now)
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/service.py
@@ -6,6 +6,7 @@
 
 from attrs import Factory, define, field
 
+from geraniumshelf_core.allowance.commands import forget_ended
 from geraniumshelf_core.errors import RequestRefused, ResultCode
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
@@ -19,6 +20,8 @@
 from geraniumshelf_daemon.allowances.queue import TokenQueue
 from geraniumshelf_daemon.allowances.shares import Shares
 from geraniumshelf_daemon.allowances.tokens import TokenDesk
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import gauge_metric
 from geraniumshelf_daemon.peers.interface import PeerNetwork
 from geraniumshelf_daemon.replication.interface import ConfigurationSource
 
@@ -89,6 +92,8 @@
             is_due = now - renewed_at >= _RENEWAL_PERIOD
             if is_due or self._floors.is_changed():
                 renewed_at = now
+                count = forget_ended(self._shares.book, now)
+                gauge_metric(Metric.LOANS_OUT, count)
                 task = asyncio.create_task(self._floors.renew())
                 self._rounds.add(task)
                 task.add_done_callback(self._rounds.discard)
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/shares.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/shares.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from secrets import randbits
-from typing import Final
+from typing import Any, Final
 
 from attrs import Factory, define
 
@@ -45,6 +45,8 @@
     tags: dict[int, str] = Factory(dict)
     tag_of: dict[str, int] = Factory(dict)
     _owners: dict[str, str | None] = Factory(dict)
+    _pooled: tuple[int, ...] = ()
+    _basis: tuple[Any, ...] = ()
     _holders: tuple[str, ...] = ()
     _revision: int = 0
     _claim_number: tuple[str, int] = ('', 0)
@@ -65,16 +67,15 @@
 
     def lenders(self) -> dict[str, tuple[int, ...]]:
         """Return the account tags to borrow floors of, by lender."""
-        pooled = tuple(
-            tag
-            for tag, account in self.tags.items()
-            if self.owner(account) == self.instance
-        )
         others = [each for each in self._holders if each != self.instance]
-        return dict.fromkeys(others, pooled)
+        return dict.fromkeys(others, self._pooled)
+
+    def signature(self) -> tuple[Any, ...]:
+        """Return what changes with the revision or the slot holders."""
+        return (self._revision, self._holders)
 
     def refresh(self) -> None:
-        """Recompute floors and owners."""
+        """Recompute floors and owners if what they depend on has changed."""
         self._refreshed_at = self.clock()
         configuration = self.source.configuration
         if configuration is None:
@@ -82,6 +83,10 @@
         self._read(configuration)
         layouts = self._layouts_in_force()
         slots = self.slots.usable_slots()
+        basis = (self._revision, layouts, slots)
+        if basis == self._basis:
+            return
+        self._basis = basis
         for name in set(self.accounts).union(self.book.limits):
             account = self.accounts.get(name, ClientAccount(name, 0, 0))
             floors = [
@@ -121,3 +126,8 @@
             self._owners = {
                 name: account_owner(name, holders) for name in self.accounts
             }
+            self._pooled = tuple(
+                tag
+                for tag, account in self.tags.items()
+                if self.owner(account) == self.instance
+            )
--- a/packages/daemon/src/geraniumshelf_daemon/allowances/tokens.py
+++ b/packages/daemon/src/geraniumshelf_daemon/allowances/tokens.py
@@ -25,6 +25,8 @@
 from geraniumshelf_daemon.allowances.lender import PREFETCH_DIVISOR
 from geraniumshelf_daemon.allowances.queue import LONGEST_WAIT, TokenQueue
 from geraniumshelf_daemon.allowances.shares import Shares
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric
 from geraniumshelf_daemon.peers.interface import PeerNetwork
 
 # Covers a round trip between regions and a retransmission.
@@ -33,6 +35,11 @@
 # Prefetched tokens that nobody used go back before their term ends.
 _RETURN_BEFORE_MS: Final = 400
 
+# Capacity of used tokens that is not yet settled refills nowhere: with 50 ms
+# instead, in-rate refusals of a burst of 12 at 95% load of 60/s were 1.01%
+# instead of 0.78%.
+_REPORT_MS: Final = 5
+
 # Further requests for an account share a message: one message each took
 # 8.8 KB/s at the owner of an account at five times a rate of 100/s.
 _MOST_IN_FLIGHT: Final = 4
@@ -55,6 +62,8 @@
     _in_flight: defaultdict[tuple[str, str], asyncio.Semaphore] = Factory(
         lambda: defaultdict(lambda: asyncio.Semaphore(_MOST_IN_FLIGHT))
     )
+    _borrowing: set[str] = Factory(set)
+    _is_reporting: bool = False
     _fetches: dict[str, asyncio.Task[bool]] = Factory(dict)
 
     async def acquire(self, account: str, quarter: Nanoseconds) -> bool:
@@ -80,11 +89,13 @@
 
     def flush(self) -> None:
         """Report used tokens; return prefetched ones that stay unused."""
-        for peer in tuple(self._used):
-            self._network.notify(peer, TokenSettled(self._pop_used(peer)))
+        self._report_used()
         now = self._shares.clock()
         soon = now + _RETURN_BEFORE_MS * MILLISECOND_NS
-        for limit in self._shares.book.limits.values():
+        for account in tuple(self._borrowing):
+            limit = self._shares.limit(account)
+            if not any(loan.is_token for loan in limit.borrowed):
+                self._borrowing.discard(account)
             ending = [
                 loan
                 for loan in limit.borrowed
@@ -96,6 +107,11 @@
                     note = LoanReturn(((loan.loan_id, tokens),))
                     self._network.notify(loan.peer, note)
 
+    def _report_used(self) -> None:
+        self._is_reporting = False
+        for peer in tuple(self._used):
+            self._network.notify(peer, TokenSettled(self._pop_used(peer)))
+
     async def _join(
         self,
         account: str,
@@ -129,6 +145,13 @@
         taken = commands.take(limit, self._shares.clock())
         if isinstance(taken, Loan):
             self._used[taken.peer][taken.loan_id] += 1
+            if not self._is_reporting:
+                self._is_reporting = True
+                loop = asyncio.get_running_loop()
+                loop.call_later(
+                    ns_to_seconds(_REPORT_MS * MILLISECOND_NS),
+                    self._report_used,
+                )
         return taken is not False
 
     async def _fetch(
@@ -153,6 +176,7 @@
         )
         timeout = min(quarter, wait + _ROUND_TRIP_MS * MILLISECOND_NS)
         self._asked[account] += prefetch
+        count_metric(Metric.TOKENS_REQUESTED, count + prefetch)
         try:
             grant = await self._network.request(owner, request, timeout)
         except PeerError:
@@ -164,6 +188,7 @@
         if amount > 0:
             now = self._shares.clock()
             commands.accept(self._shares.limit(account), loan, amount, now)
+            self._borrowing.add(account)
         return amount > 0
 
     def _wanted(self, account: str) -> int:
--- a/tests/daemon/allowances/test_service.py
+++ b/tests/daemon/allowances/test_service.py
@@ -1,7 +1,9 @@
 """Guards admission over several daemons with lost messages and cuts."""
 
 import asyncio
+import copy
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 from tools.allowance_trial import Fleet, configuration
@@ -10,8 +12,16 @@
     ClientAccount,
     Configuration,
 )
-from geraniumshelf_core.errors import RequestRefused, ResultCode
+from geraniumshelf_core.errors import PeerError, RequestRefused, ResultCode
+from geraniumshelf_core.messages.allowance import (
+    LoanGrant,
+    LoanRequest,
+    LoanReturn,
+    TokenRequest,
+    TokenSettled,
+)
 from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_daemon.allowances.checks import check_grant
 from geraniumshelf_standins.virtual_time import VirtualTimeLoop
 
 RATE = 20
@@ -64,6 +74,40 @@
             )
 
 
+@pytest.mark.parametrize(
+    'message',
+    [
+        LoanRequest(('a',), ()),  # type: ignore[arg-type]
+        LoanRequest((), ((1,),)),  # type: ignore[arg-type]
+        LoanReturn(((1, 0), (1, -1))),
+        LoanReturn(((1, 0), 1)),  # type: ignore[arg-type]
+        TokenRequest(1, 1, 0, 0, ((1, 1, 1),)),  # type: ignore[arg-type]
+        TokenRequest(1, -1, 0, 0, ((1, 1),)),
+        TokenSettled(((1, None),)),  # type: ignore[arg-type]
+        LoanGrant((), ((1, 1),), ()),  # type: ignore[arg-type]
+        LoanGrant((1,), (), ((1, 2, -3, 4, 5),)),
+    ],
+)
+def test_malformed_rows_change_nothing(message: Any) -> None:
+    """A row of another shape would fail halfway, after some changes."""
+
+    async def scenario(fleet: Fleet) -> None:
+        target, sender = fleet.names[:2]
+        if isinstance(message, LoanGrant):
+            with pytest.raises(PeerError, match='row'):
+                check_grant(message)
+            return
+        book = fleet.services[target]._shares.book
+        before = copy.deepcopy(book.limits)
+        handler = fleet.links.networks[target]._handlers[type(message)]
+        with pytest.raises(PeerError) as failure:
+            await handler(sender, message)
+        assert failure.value.code is ResultCode.PEER_FRAME_MALFORMED
+        assert book.limits == before
+
+    _run(scenario)
+
+
 def test_one_daemon_gets_the_whole_burst() -> None:
     """Equal buckets would refuse most of a burst at one daemon."""
 
