--- a/packages/standins/src/geraniumshelf_standins/caller/client.py
+++ b/packages/standins/src/geraniumshelf_standins/caller/client.py
@@ -16,6 +16,7 @@
     CutAnswer,
     Request,
     exchange,
+    is_open,
 )
 
 CHUNK_BYTES: Final = 65_536
@@ -209,8 +210,8 @@
 
     async def _exchange(self, address: str, request: Request) -> Answer:
         idle = self._idle.setdefault(address, [])
-        while idle and idle[-1].closed():
-            idle.pop()
+        while idle and not is_open(idle[-1]):
+            idle.pop().close()
         stream = idle.pop() if idle else await self._connect(address)
         try:
             answer = await exchange(stream, request)
--- a/packages/standins/src/geraniumshelf_standins/caller/exchange.py
+++ b/packages/standins/src/geraniumshelf_standins/caller/exchange.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Mapping
 from hashlib import sha256
+from socket import MSG_DONTWAIT, MSG_PEEK
 
 from attrs import define, field, frozen
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -87,6 +88,22 @@
     return collector.answer()
 
 
+def is_open(stream: IOStream) -> bool:
+    """Tell whether the far end of an idle connection has not closed it.
+
+    A stream without a pending read does not notice the end by itself.
+    """
+    if stream.closed():
+        return False
+    try:
+        stream.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def _headers(request: Request) -> HTTPHeaders:
     headers = HTTPHeaders(dict(request.headers))
     headers.setdefault('Host', 'geraniumshelf')
