Leave daemons without a revision out of look-ups

A peer that had just been linked was named in look-ups before its first heartbeat, with window 0 in its request id prefix. The unit test failed before.

--- a/packages/daemon/src/geraniumshelf_daemon/wiring/entries.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/entries.py
@@ -29,7 +29,13 @@
 
     def refresh(self, now: Nanoseconds) -> None:
         """Take over the live members."""
-        entries = tuple(map(_entry, self._members.live(now)))
+        # A peer that has just been linked has told neither its window nor its
+        # revision; ids with a made-up window would be refused as expired.
+        entries = tuple(
+            _entry(member)
+            for member in self._members.live(now)
+            if member.revision
+        )
         if entries != self._entries:
             self._entries = entries
             self._version += 1
--- /dev/null
+++ b/tests/daemon/wiring/test_entries.py
@@ -0,0 +1,26 @@
+"""Guards look-ups against daemons that can't serve yet."""
+
+from geraniumshelf_core.membership.commands import note_link
+from geraniumshelf_core.messages.membership import Heartbeat, Hello
+from geraniumshelf_daemon.clock import current_time
+from geraniumshelf_daemon.membership.members import Members
+from geraniumshelf_daemon.wiring.entries import MemberEntries
+
+
+def _hello(name: str) -> Hello:
+    return Hello(name, 'z', 'r', f'{name}:80', f'{name}:81', 1)
+
+
+def test_peer_is_no_entry_before_its_window_and_revision_are_known() -> None:
+    """Ids with a made-up window are refused as expired."""
+    members = Members(_hello('own'), lambda: 3)
+    entries = MemberEntries(members)
+    now = current_time()
+    note_link(members.state, _hello('peer'), now)
+    entries.refresh(now)
+    assert [entry.instance for entry in entries.entries()] == ['own']
+    for revision, names in ((0, ['own']), (3, ['own', 'peer'])):
+        beat = Heartbeat(1, 1 + revision, revision, '', 7, False, 0)
+        members.take_heartbeat('peer', beat, now)
+        entries.refresh(now)
+        assert [entry.instance for entry in entries.entries()] == names
