Merge time lines with the one merge of the core

The command line had a sort of its own. The process name of a time line carries the incarnation, so that events of a restarted daemon are not taken for repeated ones.

--- a/packages/cli/src/geraniumshelf_cli/commands/daemons.py
+++ b/packages/cli/src/geraniumshelf_cli/commands/daemons.py
@@ -2,23 +2,19 @@
 
 import asyncio
 from argparse import Namespace
-from collections.abc import Iterable, Sequence
-from typing import Any, Final
+from collections.abc import Sequence
+from typing import Any
 
 from geraniumshelf_cli.exits import ExitCode
 from geraniumshelf_cli.reports import Report
 from geraniumshelf_cli.session import Session
 from geraniumshelf_core.errors import OperatorError, ResultCode
-
-_EVENT_KEYS: Final = {
-    'clock': int,
-    'process': str,
-    'sequence': int,
-    'event': int,
-    'name': str,
-    'detail': str,
-    'fields': dict,
-}
+from geraniumshelf_core.timeline.event import (
+    TimelineEvent,
+    event_from_json,
+    event_to_json,
+)
+from geraniumshelf_core.timeline.merge import merge_timelines
 
 
 async def status(arguments: Namespace, session: Session) -> Report:
@@ -41,30 +37,21 @@
 async def timeline(arguments: Namespace, session: Session) -> Report:
     """Show the merged events of all daemons."""
     answers = await _ask_all(arguments.daemon, session, '/v1/timeline')
-    events = merge_events(_events(_answered(answers)))
+    events = merge_timelines(_events(_answered(answers)))
     failed = _failures(answers)
     return Report(
         (
             *(_event_line(event) for event in events),
             *(f'unreachable: {detail}' for detail in failed.values()),
         ),
-        {'events': events, 'unreachable': failed},
+        {
+            'events': [event_to_json(event) for event in events],
+            'unreachable': failed,
+        },
         ExitCode.DAEMON if failed else ExitCode.DONE,
     )
 
 
-def merge_events(events: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
-    """Order events by logical clock, process and sequence number."""
-    return sorted(
-        events,
-        key=lambda event: (
-            event['clock'],
-            event['process'],
-            event['sequence'],
-        ),
-    )
-
-
 async def _ask_all(
     addresses: Sequence[str], session: Session, path: str
 ) -> dict[str, Any]:
@@ -96,28 +83,28 @@
     }
 
 
-def _events(answers: dict[str, Any]) -> list[dict[str, Any]]:
-    events: list[dict[str, Any]] = []
+def _events(answers: dict[str, Any]) -> list[TimelineEvent]:
+    events: list[TimelineEvent] = []
     for address, answer in answers.items():
-        # A daemon answers with a list, alone or under the key "events".
-        stated = answer.get('events') if isinstance(answer, dict) else answer
-        if not isinstance(stated, list) or not all(map(_is_event, stated)):
-            raise OperatorError(
-                ResultCode.DAEMON_UNREACHABLE,
-                f'{address}/v1/timeline: not a list of events',
-            )
-        events.extend(stated)
+        rows = answer.get('events') if isinstance(answer, dict) else answer
+        if not isinstance(rows, list):
+            raise _no_events(address, 'not a list of events')
+        try:
+            events.extend(event_from_json(row) for row in rows)
+        except OperatorError as error:
+            raise _no_events(address, error.detail) from error
     return events
 
 
-def _is_event(stated: Any) -> bool:
-    return isinstance(stated, dict) and all(
-        type(stated.get(name)) is kind for name, kind in _EVENT_KEYS.items()
+def _no_events(address: str, detail: str) -> OperatorError:
+    return OperatorError(
+        ResultCode.DAEMON_UNREACHABLE, f'{address}/v1/timeline: {detail}'
     )
 
 
-def _event_line(event: dict[str, Any]) -> str:
+def _event_line(event: TimelineEvent) -> str:
+    fields = ' '.join(f'{name}={text}' for name, text in event.fields)
     return (
-        f'{event["clock"]} {event["process"]} {event["event"]} '
-        f'{event["name"]} {event["detail"]} {event["fields"] or ""}'
+        f'{event.clock} {event.process} {event.event} '
+        f'{event.name} {event.detail} {fields}'
     ).rstrip()
--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -47,7 +47,8 @@
         self._settings = settings
         hello = _introduction(settings)
         clock = LogicalClock()
-        self._timeline = TimelineBuffer(hello.instance, clock)
+        process = f'{hello.instance}#{hello.incarnation:x}'
+        self._timeline = TimelineBuffer(process, clock)
         install_recorder(self._timeline)
         self._metrics = Metrics(
             str(settings.statsd_address or ''), settings.instance
