Drain single zones in capped steps and bound spills in any span

A drained zone lost its servers' capacity at once but kept its entries in answers for ever. The plan now holds the points that drained zones gave up within their regions; they grow by what the cap leaves once the other zones can carry the region, and other regions take the rest. Servers of the zone get no new work when it is empty. An upstream without a working server whose entries still report traffic is left as a failed region is.

--- a/packages/core/src/geraniumshelf_core/dispatch/commands.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/commands.py
@@ -1,9 +1,10 @@
 """Changes to what a daemon knows of the backend servers."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Final
 
 from geraniumshelf_core.configuration.model import BackendServer
+from geraniumshelf_core.dispatch.queries import takes_work
 from geraniumshelf_core.dispatch.state import (
     AVOIDANCE_NS,
     EJECTED_FRACTION,
@@ -91,6 +92,26 @@
     server.is_leaving = is_leaving
 
 
+def withdraw_zones(
+    state: DispatchState, service: str, zones: Collection[str]
+) -> None:
+    """Give no new work to the servers of drained zones.
+
+    Servers of a region that has no others for the service stay in use, since
+    a drained place serves what still arrives.
+    """
+    servers = [state.servers[name] for name in state.services.get(service, ())]
+    served = {
+        server.region
+        for server in servers
+        if server.server.zone not in zones and not server.is_leaving
+    }
+    for server in servers:
+        server.is_withdrawn = (
+            server.server.zone in zones and server.region in served
+        )
+
+
 def earn_retries(budget: RetryBudget) -> None:
     """Count a request; ten of them allow one retry."""
     budget.tokens = min(_RETRY_CEILING, budget.tokens + _RETRY_GAIN)
@@ -109,6 +130,7 @@
         other
         for name in state.services.get(server.server.service, ())
         if (other := state.servers[name]).region == server.region
+        and takes_work(other)
     ]
     ejected = sum(other.ejected_until > now for other in upstream)
     if (ejected + 1) * EJECTED_FRACTION > len(upstream):
--- a/packages/core/src/geraniumshelf_core/dispatch/queries.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/queries.py
@@ -69,7 +69,12 @@
 
 def is_available(server: ServerState, now: Nanoseconds) -> bool:
     """Return whether a server may get new work."""
-    return not server.is_leaving and server.ejected_until <= now
+    return takes_work(server) and server.ejected_until <= now
+
+
+def takes_work(server: ServerState) -> bool:
+    """Return whether a server takes new work unless it is ejected."""
+    return not server.is_leaving and not server.is_withdrawn
 
 
 def has_servers(state: DispatchState, wish: Wish, now: Nanoseconds) -> bool:
--- a/packages/core/src/geraniumshelf_core/dispatch/state.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/state.py
@@ -35,6 +35,8 @@
         is_leaving: Whether it said that it is leaving.
         available_since: Start of its slow start; ``None`` for long ago.
         ejected_until: End of its ejection, 0 for none.
+        is_withdrawn: Whether the drain of its zone is complete and other
+            zones of the region offer the service.
         failures: Failures in a row.
         avoided_until: Time until which other servers are preferred, because
             it has just failed or shed a request; unlike an ejection this
@@ -49,6 +51,7 @@
     is_leaving: bool = False
     available_since: Nanoseconds | None = None
     ejected_until: Nanoseconds = 0
+    is_withdrawn: bool = False
     failures: int = 0
     avoided_until: Nanoseconds = 0
 
--- a/packages/core/src/geraniumshelf_core/lookup/answer.py
+++ b/packages/core/src/geraniumshelf_core/lookup/answer.py
@@ -59,13 +59,17 @@
     return (*preferred[:MAX_PREFERRED], *[*near, *mixed][:MAX_FALLBACK])
 
 
-def count_rotations(entries: Iterable[EntryInstance], destination: str) -> int:
-    """Return how many rotations give different answers, at least one."""
-    usable = sum(
-        not entry.is_leaving and entry.region == destination
-        for entry in entries
+def destination_zones(
+    entries: Iterable[EntryInstance], destination: str
+) -> tuple[str, ...]:
+    """Return the zone of each usable entry of a region, in order."""
+    return tuple(
+        sorted(
+            entry.zone
+            for entry in entries
+            if not entry.is_leaving and entry.region == destination
+        )
     )
-    return max(usable, 1)
 
 
 def _sort_key(entry: EntryInstance) -> tuple[str, str]:
--- a/packages/core/src/geraniumshelf_core/plan/approach.py
+++ b/packages/core/src/geraniumshelf_core/plan/approach.py
@@ -2,8 +2,9 @@
 
 from attrs import evolve, frozen
 
-from geraniumshelf_core.lookup.shares import approach_shares, count_moved
+from geraniumshelf_core.lookup.shares import approach_shares
 from geraniumshelf_core.plan.model import Plan, SourcePlan
+from geraniumshelf_core.plan.zones import approach_withdrawn, most_moved
 
 
 @frozen
@@ -38,13 +39,13 @@
         )
         for name in sorted(names)
     )
-    is_reached = all(
-        row.shares == held.shares_of(row.source) for row in sources
-    )
-    is_move = any(
-        count_moved(applied.shares_of(row.source), row.shares)
-        for row in sources
+    moved = most_moved(applied, sources)
+    withdrawn = approach_withdrawn(
+        applied.withdrawn, held.withdrawn, cap_ppm - moved
     )
-    return Approach(
-        held if is_reached else evolve(applied, sources=sources), is_move
+    is_reached = withdrawn == held.withdrawn and all(
+        row.shares == held.shares_of(row.source) for row in sources
     )
+    reached = evolve(applied, sources=sources, withdrawn=withdrawn)
+    is_move = moved > 0 or withdrawn != applied.withdrawn
+    return Approach(held if is_reached else reached, is_move)
--- a/packages/core/src/geraniumshelf_core/plan/model.py
+++ b/packages/core/src/geraniumshelf_core/plan/model.py
@@ -17,7 +17,7 @@
 
 PLAN_PREFIX: Final = 'plan/'
 
-_FORMAT: Final = 1
+_FORMAT: Final = 2
 
 # Region and its allowance in parts per million of the source's traffic.
 Failover = tuple[tuple[str, int], ...]
@@ -47,12 +47,15 @@
         revision: Grows by one with each step.
         proposal_id: Unique name of the proposal that wrote it.
         sources: Plans of the source regions in alphabetical order.
+        withdrawn: Points that drained zones gave up within their regions, in
+            parts per million, in alphabetical order.
     """
 
     service: str
     revision: int
     proposal_id: str
     sources: tuple[SourcePlan, ...]
+    withdrawn: tuple[tuple[str, int], ...] = ()
 
     def shares_of(self, source: str) -> Shares:
         """Return the shares of a source; an unknown one serves itself."""
@@ -89,7 +92,14 @@
         for source in plan.sources
     ]
     return cbor2.dumps(
-        [_FORMAT, plan.service, plan.revision, plan.proposal_id, sources],
+        [
+            _FORMAT,
+            plan.service,
+            plan.revision,
+            plan.proposal_id,
+            sources,
+            [list(pair) for pair in plan.withdrawn],
+        ],
         canonical=True,
     )
 
@@ -105,7 +115,7 @@
         row = cbor2.loads(encoded)
     except Exception as error:
         raise _malformed('not CBOR') from error
-    head = _read_row(row, (int, str, int, str, list), 'plan')
+    head = _read_row(row, (int, str, int, str, list, list), 'plan')
     if head[0] != _FORMAT:
         raise _malformed(f'format {head[0]} is not {_FORMAT}')
     if head[2] < 1:
@@ -114,7 +124,9 @@
     names = [source.source for source in sources]
     if names != sorted(set(names)):
         raise _malformed('sources are not unique and in order')
-    return Plan(head[1], head[2], head[3], sources)
+    withdrawn = tuple(_read_pairs(head[5], (str, int), 'withdrawn'))
+    _check_points(withdrawn, 'withdrawn')
+    return Plan(head[1], head[2], head[3], sources, withdrawn)
 
 
 def _read_source(row: object) -> SourcePlan:
@@ -125,11 +137,15 @@
     if not is_complete(intervals):
         raise _malformed(f'shares of {name} do not cover a million points')
     allowances = tuple(_read_pairs(failover, (str, int), name))
-    if any(ppm < 0 or ppm > PARTS_PER_MILLION for _, ppm in allowances):
-        raise _malformed(f'failover of {name} is not between 0 and a million')
+    _check_points(allowances, f'failover of {name}')
     return SourcePlan(name, intervals, allowances)
 
 
+def _check_points(pairs: Iterable[tuple[str, int]], name: str) -> None:
+    if any(ppm < 0 or ppm > PARTS_PER_MILLION for _, ppm in pairs):
+        raise _malformed(f'{name} is not between 0 and a million')
+
+
 def _read_pairs(
     rows: Iterable[object], types: tuple[type, type], name: str
 ) -> Iterable[tuple[Any, Any]]:
--- a/packages/core/src/geraniumshelf_core/plan/steps.py
+++ b/packages/core/src/geraniumshelf_core/plan/steps.py
@@ -12,6 +12,7 @@
 )
 from geraniumshelf_core.plan.headroom import Demand, planned_loads
 from geraniumshelf_core.plan.model import Failover, Plan, SourcePlan
+from geraniumshelf_core.plan.zones import NO_DRAINS, ZoneDrains, step_zones
 from geraniumshelf_core.units import PARTS_PER_MILLION
 
 # Share of a service's traffic that a region with cold caches starts with; it
@@ -33,6 +34,7 @@
         demand: Traffic by source.
         rooms: Load that each region may be given, micro-requests.
         cap_ppm: Share of each source's points that one step may move.
+        drains: Single zones that are drained.
     """
 
     target: Mapping[str, Mapping[str, int]]
@@ -40,6 +42,7 @@
     demand: Demand
     rooms: Mapping[str, int]
     cap_ppm: int
+    drains: ZoneDrains = NO_DRAINS
 
 
 @frozen
@@ -78,11 +81,18 @@
         )
         for name in sorted(names | situation.target.keys())
     )
+    withdrawn = step_zones(
+        current,
+        sources,
+        situation.drains,
+        planned_loads(current, budget.loads),
+        situation.cap_ppm,
+    )
     is_reached = all(
         current.weights_of(source) == dict(weights)
         for source, weights in situation.target.items()
     )
-    if sources == current.sources:
+    if (sources, withdrawn) == (current.sources, current.withdrawn):
         return Step(None, is_held=not is_reached)
     revision = current.revision + 1
     return Step(
@@ -91,6 +101,7 @@
             revision=revision,
             proposal_id=proposal_id,
             sources=sources,
+            withdrawn=withdrawn,
         )
     )
 
--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -21,7 +21,11 @@
 from geraniumshelf_daemon.observability.timeline import TimelineBuffer
 from geraniumshelf_daemon.settings import Settings
 from geraniumshelf_daemon.wiring.control import build_control
-from geraniumshelf_daemon.wiring.data_path import copy_loads, wire_data_path
+from geraniumshelf_daemon.wiring.data_path import (
+    copy_loads,
+    wire_data_path,
+    withdraw_drained,
+)
 from geraniumshelf_daemon.wiring.limits import Limits
 from geraniumshelf_daemon.wiring.steering import Steering
 
@@ -123,8 +127,10 @@
             status.window = current_window(now)
             status.slot = self._limits.claims.slot
             self._control.entries.refresh(now)
-            copy_loads(
-                self._steering.collector.book, self._data_path.dispatcher.state
+            state = self._data_path.dispatcher.state
+            copy_loads(self._steering.collector.book, state)
+            withdraw_drained(
+                self._steering.applied, self._control.entries, state
             )
             await asyncio.sleep(_TICK_S)
 
--- a/packages/daemon/src/geraniumshelf_daemon/failover/budget.py
+++ b/packages/daemon/src/geraniumshelf_daemon/failover/budget.py
@@ -4,8 +4,10 @@
 
 from geraniumshelf_core.units import PARTS_PER_MILLION, Nanoseconds
 from geraniumshelf_daemon.failover.state import (
-    ALLOWANCE_SPAN_NS,
+    PART_NS,
+    PARTS,
     ServiceSpill,
+    SpillPart,
 )
 from geraniumshelf_daemon.lookups.interface import PlanSource
 
@@ -32,28 +34,36 @@
         plan = self._plans.plan(service)
         if plan is None:
             return ()
-        spill = self._current(service, now)
+        spill = self._spills.get(service, ServiceSpill())
+        number = now // PART_NS
         left = {
-            region: _allowed(spill, ppm) - spill.sent.get(region, 0)
+            region: _allowed(spill, number, ppm) - _sent(spill, number, region)
             for region, ppm in plan.failover_of(self._region).items()
             if region != self._region
         }
         ranked = sorted(left, key=lambda region: (-left[region], region))
         return tuple(region for region in ranked if left[region] > 0)
 
-    def _current(self, service: str, now: Nanoseconds) -> ServiceSpill:
-        spill = self._spills.get(service)
-        if spill is None:
-            spill = ServiceSpill(now)
-            self._spills[service] = spill
-        if now - spill.since >= ALLOWANCE_SPAN_NS:
-            spill.earlier_arrivals = spill.arrivals
-            spill.arrivals = 0
-            spill.sent.clear()
-            spill.since = now
-        return spill
-
-
-def _allowed(spill: ServiceSpill, ppm: int) -> int:
-    arrivals = max(spill.arrivals, spill.earlier_arrivals)
+    def _current(self, service: str, now: Nanoseconds) -> SpillPart:
+        parts = self._spills.setdefault(service, ServiceSpill()).parts
+        number = now // PART_NS
+        if not parts or parts[-1].number < number:
+            parts.append(SpillPart(number))
+        while parts[0].number < number - PARTS:
+            parts.popleft()
+        return parts[-1]
+
+
+def _allowed(spill: ServiceSpill, number: int, ppm: int) -> int:
+    arrivals = sum(
+        part.arrivals for part in spill.parts if part.number > number - PARTS
+    )
     return -(-arrivals * ppm // PARTS_PER_MILLION)
+
+
+def _sent(spill: ServiceSpill, number: int, region: str) -> int:
+    return sum(
+        part.sent.get(region, 0)
+        for part in spill.parts
+        if part.number >= number - PARTS
+    )
--- a/packages/daemon/src/geraniumshelf_daemon/lookups/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/lookups/service.py
@@ -10,11 +10,12 @@
 from geraniumshelf_core.errors import RequestRefused, ResultCode
 from geraniumshelf_core.lookup.answer import (
     EntryInstance,
-    count_rotations,
+    destination_zones,
     order_entries,
 )
 from geraniumshelf_core.lookup.point import block_point
 from geraniumshelf_core.lookup.shares import region_at
+from geraniumshelf_core.lookup.withdrawal import Turn, choose_turn
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.lookups.interface import (
     EntrySource,
@@ -37,7 +38,7 @@
     service: str
     destination: str
     source: str
-    rotation: int
+    turn: Turn
 
 
 class LookupService:
@@ -68,7 +69,7 @@
         self._state = (0, 0, 0)
         self._ttls: dict[str, int] = {}
         self._members: tuple[EntryInstance, ...] = ()
-        self._rotations: dict[str, int] = {}
+        self._zones: dict[str, tuple[str, ...]] = {}
         self._prepared: dict[_Answer, LookupAnswer] = {}
 
     def answer(
@@ -97,8 +98,10 @@
             raise _not_ready('no plan or no live entry instance yet')
         point, turn = block_point(service, block)
         destination = region_at(plan.shares_of(source), point)
-        rotation = turn % self._rotations_of(destination)
-        return self._prepare(_Answer(service, destination, source, rotation))
+        order = choose_turn(
+            self._zones_of(destination), dict(plan.withdrawn), turn
+        )
+        return self._prepare(_Answer(service, destination, source, order))
 
     def region_of(self, client: str) -> str:
         """Return the region nearest to a client address."""
@@ -130,7 +133,7 @@
         self._members = tuple(
             entry for entry in self._entries.entries() if not entry.is_leaving
         )
-        self._rotations.clear()
+        self._zones.clear()
         self._prepared.clear()
 
     def _locate(self, client: str) -> tuple[str, bytes]:
@@ -143,12 +146,12 @@
             return self._home_region, packed
         return region, start.to_bytes(len(packed), 'big')
 
-    def _rotations_of(self, destination: str) -> int:
-        count = self._rotations.get(destination)
-        if count is None:
-            count = count_rotations(self._members, destination)
-            self._rotations[destination] = count
-        return count
+    def _zones_of(self, destination: str) -> tuple[str, ...]:
+        zones = self._zones.get(destination)
+        if zones is None:
+            zones = destination_zones(self._members, destination)
+            self._zones[destination] = zones
+        return zones
 
     def _prepare(self, content: _Answer) -> LookupAnswer:
         prepared = self._prepared.get(content)
@@ -165,8 +168,10 @@
 def _encode(
     content: _Answer, members: tuple[EntryInstance, ...], ttl_s: int
 ) -> LookupAnswer:
+    turn = content.turn
+    kept = [entry for entry in members if entry.zone not in turn.omitted]
     ordered = order_entries(
-        members, content.destination, content.source, content.rotation
+        kept or members, content.destination, content.source, turn.rotation
     )
     document = {
         'service': content.service,
--- a/packages/daemon/src/geraniumshelf_daemon/steering/assessment.py
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/assessment.py
@@ -24,6 +24,7 @@
     target_weights,
 )
 from geraniumshelf_core.plan.timing import step_length
+from geraniumshelf_core.plan.zones import relieve_regions, zone_drains
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.steering.plans import HeldPlan
 
@@ -67,23 +68,29 @@
         if demand.is_known
         else {}
     )
+    drains = zone_drains(configuration, supplies, demand.is_complete)
+    plan = held.plan if held else None
+    capacities = {
+        region: slots
+        for region, slots in declared_capacities(
+            configuration, service.name
+        ).items()
+        if region not in unusable
+    }
+    target = target_weights(configuration, service.name, capacities, unusable)
     return Situation(
-        target_weights(
-            configuration,
-            service.name,
-            declared_capacities(configuration, service.name),
-            unusable,
-        ),
+        relieve_regions(target, drains, plan, demand.by_source, capacities),
         _failover(configuration, service.name, unusable),
         demand,
         rooms(
             supplies,
-            planned_loads(held.plan, demand.by_source) if held else {},
+            planned_loads(plan, demand.by_source) if plan else {},
             _moves(held, demand),
             step_length(service),
             now,
         ),
         service.shift_cap.share_ppm,
+        drains,
     )
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/steering/proposer.py
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/proposer.py
@@ -23,6 +23,7 @@
 from geraniumshelf_daemon.steering.exchange import PlanExchange
 from geraniumshelf_daemon.steering.failures import RegionFailures
 from geraniumshelf_daemon.steering.plans import HeldPlan
+from geraniumshelf_daemon.steering.silences import UpstreamSilences
 
 _PERIOD_S: Final = 1
 
@@ -48,6 +49,9 @@
         lambda owner: RegionFailures(owner.entries, owner.exchange.platform),
         takes_self=True,
     )
+    _silences: UpstreamSilences = Factory(
+        lambda owner: UpstreamSilences(owner.book), takes_self=True
+    )
     # Proposals whose answer was lost, by service.
     _unsettled: dict[str, str] = Factory(dict)
     _held_back: set[str] = Factory(set)
@@ -114,11 +118,14 @@
         if held and not may_propose(held.first_seen, length, now):
             return Step(None)
         live = frozenset(entry.instance for entry in self.entries.entries())
+        silent = self._silences.refresh(
+            configuration, service.name, self.entries.entries(), now
+        )
         situation = assess(
             configuration,
             service,
             self.book,
-            View(held, live, self._failures.failed),
+            View(held, live, self._failures.failed | silent),
             now,
         )
         proposal_id = uuid.uuid4().hex
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/data_path.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/data_path.py
@@ -5,13 +5,18 @@
 
 from attrs import frozen
 
-from geraniumshelf_core.dispatch.commands import record_report
+from geraniumshelf_core.dispatch.commands import (
+    record_report,
+    withdraw_zones,
+)
 from geraniumshelf_core.dispatch.state import (
     DispatchState,
     Place,
     ServerState,
 )
 from geraniumshelf_core.loads.state import LoadBook
+from geraniumshelf_core.lookup.answer import destination_zones
+from geraniumshelf_core.lookup.withdrawal import is_empty
 from geraniumshelf_core.units import (
     PARTS_PER_MILLION,
     SECOND_NS,
@@ -24,7 +29,7 @@
     Surroundings,
     build_data_path,
 )
-from geraniumshelf_daemon.lookups.interface import EntrySource
+from geraniumshelf_daemon.lookups.interface import EntrySource, PlanSource
 from geraniumshelf_daemon.lookups.service import LookupService
 from geraniumshelf_daemon.steering.demand import DemandMeter
 from geraniumshelf_daemon.wiring.control import ControlPlane
@@ -135,3 +140,29 @@
             record_report(
                 server, load.in_flight, load.is_leaving, load.measured_at
             )
+
+
+def withdraw_drained(
+    plans: PlanSource, entries: EntrySource, state: DispatchState
+) -> None:
+    """Give no new work to servers of zones whose drain is complete.
+
+    Args:
+        plans: The plans that look-up answers follow.
+        entries: The live entry instances.
+        state: What the choice of backend servers knows.
+    """
+    for service in state.services:
+        plan = plans.plan(service)
+        points = {} if plan is None else dict(plan.withdrawn)
+        empty = {
+            server.server.zone
+            for server in state.servers.values()
+            if server.server.zone in points
+            and is_empty(
+                destination_zones(entries.entries(), server.region),
+                points,
+                server.server.zone,
+            )
+        }
+        withdraw_zones(state, service, empty)
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
@@ -46,11 +46,9 @@
             self._collector.book,
             control.entries,
         )
+        self._applied = AppliedPlans(self._plans, control.holder, current_time)
         self._lookups = LookupService(
-            control.holder,
-            AppliedPlans(self._plans, control.holder, current_time),
-            control.entries,
-            hello.region,
+            control.holder, self._applied, control.entries, hello.region
         )
         self._collector.register()
         self._exchange.register()
@@ -66,6 +64,11 @@
         """Return the plans in force."""
         return self._plans
 
+    @property
+    def applied(self) -> AppliedPlans:
+        """Return the plans that look-up answers follow."""
+        return self._applied
+
     @property
     def lookups(self) -> LookupService:
         """Return what answers look-ups."""
--- a/tests/core/dispatch/test_selection.py
+++ b/tests/core/dispatch/test_selection.py
@@ -13,11 +13,13 @@
     record_report,
     replace_servers,
     spend_retry,
+    withdraw_zones,
 )
 from geraniumshelf_core.dispatch.queries import (
     Wish,
     choose_server,
     in_flight_limit,
+    takes_work,
     whole_slots,
 )
 from geraniumshelf_core.dispatch.state import (
@@ -143,3 +145,46 @@
         else:
             retries += spend_retry(budget)
         assert retries <= 3 + requests / 10
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['bad', 'leave', 'stay', 'drain', 'wait']),
+            st.integers(0, 7),
+        ),
+        max_size=60,
+    ),
+    st.integers(1, 8),
+)
+def test_ejection_leaves_servers_that_take_work(steps, count: int) -> None:
+    """Servers that leave or are drained must not count as remaining ones."""
+    state, now = _state(['a1', 'a2'] * count), 0
+    for step, number in steps:
+        server = state.servers[f's{number % len(state.servers)}']
+        match step:
+            case 'bad':
+                for _ in range(3):
+                    begin_request(server)
+                    if end_request(state, server, True, now):
+                        working = list(
+                            filter(takes_work, state.servers.values())
+                        )
+                        ejected = sum(s.ejected_until > now for s in working)
+                        assert ejected * 3 <= max(3, len(working))
+                        assert any(s.ejected_until <= now for s in working)
+            case 'leave' | 'stay':
+                record_report(server, 2, step == 'leave', now)
+            case 'drain':
+                withdraw_zones(state, 'desk', {'a1'} if number % 2 else ())
+                open_zone = [
+                    s
+                    for s in state.servers.values()
+                    if s.server.zone == 'a2' and not s.is_leaving
+                ]
+                withdrawn = [
+                    s for s in state.servers.values() if s.is_withdrawn
+                ]
+                assert bool(withdrawn) == bool(number % 2 and open_zone)
+            case _:
+                now += SECOND_NS
--- /dev/null
+++ b/tests/core/lookup/test_withdrawal.py
@@ -0,0 +1,53 @@
+"""Guards the withdrawal of a zone from look-up answers."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from geraniumshelf_core.lookup.point import block_point
+from geraniumshelf_core.lookup.withdrawal import choose_turn
+
+_CLIENTS = 2000
+_TURNS = [
+    block_point('s', number.to_bytes(4, 'big'))[1] for number in range(_CLIENTS)
+]
+
+
+def _firsts(zones: list[str], withdrawn: dict[str, int]) -> list[int]:
+    firsts = []
+    for turn in _TURNS:
+        order = choose_turn(zones, withdrawn, turn)
+        kept = [
+            index
+            for index, zone in enumerate(zones)
+            if zone not in order.omitted
+        ]
+        firsts.append(kept[order.rotation])
+    return firsts
+
+
+@settings(max_examples=15, deadline=None)
+@given(
+    st.integers(0, 4),
+    st.integers(1, 4),
+    st.integers(0, 4),
+    st.integers(100_000, 400_000),
+)
+def test_withdrawal_moves_no_more_than_its_points(
+    before: int, drained: int, behind: int, cap: int
+) -> None:
+    """A zone that leaves the answers at once would break the cap."""
+    zones = ['a'] * before + ['b'] * drained + ['c'] * behind
+    last, points = _firsts(zones, {}), 0
+    while points < 1_000_000:
+        points = min(1_000_000, points + cap)
+        firsts = _firsts(zones, {'b': points})
+        moved = [x for x, y in zip(last, firsts, strict=True) if x != y]
+        assert len(moved) <= _CLIENTS * (cap / 1e6 + 0.03)
+        assert all(zones[index] == 'b' for index in moved)
+        last = firsts
+    others = before + behind
+    assert others == 0 or all(zones[index] != 'b' for index in last)
+    for index, zone in enumerate(zones):
+        if zone != 'b':
+            share = last.count(index) / _CLIENTS
+            assert abs(share - 1 / others) < 0.05
--- /dev/null
+++ b/tests/daemon/failover/test_budget.py
@@ -0,0 +1,64 @@
+"""Guards the allowance towards other regions in every span of time."""
+
+from types import SimpleNamespace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumshelf_core.lookup.shares import initial_shares
+from geraniumshelf_core.plan.model import Plan, SourcePlan
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS
+from geraniumshelf_daemon.failover.budget import FailoverBudget
+
+_SPAN = 10 * SECOND_NS
+
+
+def _budget(ppm: int) -> FailoverBudget:
+    source = SourcePlan('a', initial_shares({'a': 1_000_000}), (('b', ppm),))
+    plan = Plan('s', 1, 'p', (source,))
+    return FailoverBudget(SimpleNamespace(plan=lambda service: plan), 'a')
+
+
+def _send(budget: FailoverBudget, now: int) -> bool:
+    if budget.regions('s', now) != ('b',):
+        return False
+    budget.count('s', 'b', now)
+    return True
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.one_of(st.integers(0, 200), st.integers(0, 11_000)),
+            st.integers(0, 30),
+            st.integers(0, 30),
+        ),
+        max_size=40,
+    ),
+    st.integers(10_000, 1_000_000),
+)
+def test_no_span_exceeds_the_allowance(steps, ppm: int) -> None:
+    """Two spans must not give out their allowances back to back."""
+    budget, now = _budget(ppm), 0
+    arrivals: list[int] = []
+    sent: list[int] = []
+    for wait_ms, arriving, wanting in steps:
+        now += wait_ms * MILLISECOND_NS
+        for _ in range(arriving):
+            budget.arrive('s', now)
+        arrivals += [now] * arriving
+        sent += [now for _ in range(wanting) if _send(budget, now)]
+        recent = sum(now - time <= _SPAN for time in arrivals)
+        leaving = sum(now - time < _SPAN for time in sent)
+        if sent and sent[-1] == now:
+            assert leaving <= -(-recent * ppm // 1_000_000)
+
+
+def test_allowance_can_be_used() -> None:
+    """A bound that is kept by sending nothing would refuse for no reason."""
+    budget, sent = _budget(100_000), 0
+    for number in range(6000):
+        now = number * 10 * MILLISECOND_NS
+        budget.arrive('s', now)
+        sent += _send(budget, now)
+    assert 0.9 * 600 <= sent <= 600 + 10
--- a/tests/daemon/steering/simulation.py
+++ b/tests/daemon/steering/simulation.py
@@ -201,9 +201,16 @@
             count_moved(earliest[source], shares[source]) for source in REGIONS
         )
 
-    def hear_load(self, region: str, in_flight: int, age_s: int = 0) -> None:
+    def hear_load(
+        self,
+        region: str,
+        in_flight: int,
+        age_s: int = 0,
+        slots: int = SLOTS,
+        leaving: int = 0,
+    ) -> None:
         self.sequence += 1
-        row = (region, in_flight, SLOTS, 0)
+        row = (region, in_flight, slots, leaving)
         record_loads(
             self.book,
             LoadReport(region, self.sequence, 2, age_s * 1000, (row,)),
--- a/tests/daemon/steering/test_racing_proposers.py
+++ b/tests/daemon/steering/test_racing_proposers.py
@@ -29,6 +29,7 @@
 from geraniumshelf_core.plan import steps
 from geraniumshelf_core.plan.approach import Approach
 from geraniumshelf_core.plan.model import Plan
+from geraniumshelf_core.plan.timing import PROPAGATION_S
 from geraniumshelf_core.units import (
     PARTS_PER_MILLION,
     SECOND_NS,
@@ -58,13 +59,15 @@
         ]
         # Revision in use and end of its time in the cache.
         self.callers = [(0, 0.0)] * 8
+        # Times at which a daemon in contact saw revisions.
+        self.sightings: list[tuple[int, int]] = []
         for node in self.nodes:
             node.restart()
             self._hear_all(node)
         self.nodes[0].propose()
         self.world.drained = (drained,)
 
-    @rule(seconds=st.integers(1, 12), lag=st.integers(0, 3))
+    @rule(seconds=st.integers(1, 12), lag=st.integers(0, PROPAGATION_S))
     def pass_time(self, seconds: int, lag: int) -> None:
         for _ in range(int(seconds / _TICK_S)):
             self.world.now += int(_TICK_S * SECOND_NS)
@@ -104,9 +107,11 @@
         region=_REGION,
         in_flight=st.integers(0, 40),
         age_s=st.integers(0, 40),
+        slots=st.integers(0, 2 * SLOTS),
+        leaving=st.integers(0, 1),
     )
-    def report_any_load(self, node, region, in_flight, age_s) -> None:
-        self.nodes[node].hear_load(region, in_flight, age_s)
+    def report_any_load(self, node, region, **report: int) -> None:
+        self.nodes[node].hear_load(region, **report)
 
     @rule(node=_NODES, region=_REGION)
     def report_demand(self, node: int, region: str) -> None:
@@ -147,6 +152,13 @@
         for earlier, later in pairwise(times):
             assert later - earlier >= STEP_S * SECOND_NS
 
+    @invariant()
+    def steps_are_seen_apart(self) -> None:
+        for earlier, later in pairwise(self.sightings):
+            assert later[1] == earlier[1] + 1
+            least_s = STEP_S - PROPAGATION_S
+            assert later[0] - earlier[0] >= least_s * SECOND_NS
+
     @invariant()
     def callers_use_two_revisions_at_most(self) -> None:
         revisions = [revision for revision, _ in self.callers if revision]
@@ -182,6 +194,8 @@
             for written, plan in self.platform.writes
             if written <= now - lag * SECOND_NS
         ]
+        if seen and seen[-1] > max([0, *(r for _, r in self.sightings)]):
+            self.sightings.append((now, seen[-1]))
         for index, (revision, end) in enumerate(self.callers):
             if end <= now and seen:
                 latest = max(revision, seen[-1])
--- /dev/null
+++ b/tests/daemon/steering/test_zone_drains.py
@@ -0,0 +1,134 @@
+"""Guards drains of single zones and failures of whole upstreams."""
+
+from itertools import pairwise
+
+from attrs import define, evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tests.daemon.steering.simulation import (
+    CAP_PPM,
+    REGIONS,
+    SLOTS,
+    STEP_S,
+    FaultyPlatform,
+    Node,
+    World,
+)
+
+from geraniumshelf_core.configuration.model import (
+    BackendServer,
+    Configuration,
+    Zone,
+)
+from geraniumshelf_core.lookup.shares import count_moved
+from geraniumshelf_core.plan.model import Plan
+from geraniumshelf_core.units import SECOND_NS
+
+
+@define
+class TwoZones(World):
+    """Each region has a second zone with as many slots."""
+
+    @property
+    def configuration(self) -> Configuration:
+        plain = super().configuration
+        return evolve(
+            plain,
+            zones=plain.zones + tuple(Zone(f'{r}2', r, 1) for r in REGIONS),
+            servers=plain.servers
+            + tuple(
+                BackendServer(f'{r}x', 's', f'{r}2', '', SLOTS, 9)
+                for r in REGIONS
+            ),
+        )
+
+
+def _run(node: Node, demand: dict[str, int], count: int, silent='') -> None:
+    for _ in range(count):
+        for _ in range(STEP_S):
+            node.world.now += SECOND_NS
+            for region in REGIONS:
+                if region != silent:
+                    node.hear_load(region, 0)
+                    node.hear_load(f'{region}x', 0)
+                node.hear_demand(region, demand[region])
+        node.propose()
+
+
+def _moved(before: Plan, after: Plan) -> int:
+    old, new = dict(before.withdrawn), dict(after.withdrawn)
+    zones = sum(abs(new.get(z, 0) - old.get(z, 0)) for z in old | new)
+    return zones + max(
+        count_moved(before.shares_of(region), after.shares_of(region))
+        for region in REGIONS
+    )
+
+
+def _load(plan: Plan, demand: dict[str, int], region: str) -> float:
+    return sum(
+        requests * plan.weights_of(source).get(region, 0) / 1e6
+        for source, requests in demand.items()
+    )
+
+
+def _start(world: World) -> Node:
+    node = Node(world, FaultyPlatform(world), 0)
+    node.restart()
+    return node
+
+
+@settings(max_examples=20, deadline=None)
+@given(st.tuples(*[st.integers(1, 24)] * 3), st.integers(1, 24))
+def test_zone_drain_moves_in_capped_steps(loads, later: int) -> None:
+    """A zone drained at once would overload its neighbour with cold caches."""
+    demand = dict(zip(REGIONS, loads, strict=True))
+    node = _start(TwoZones())
+    _run(node, demand, 1)
+    node.world.drained = ('a2',)
+    _run(node, demand, 40)
+    # The other zone of region a carries 17 requests, the others 34 each.
+    drained = node.platform.writes[-1][1]
+    assert dict(drained.withdrawn) == {'a2': 1_000_000}
+    assert _load(drained, demand, 'a') <= SLOTS * 0.85
+    demand['a'] = min(later, demand['a'])
+    _run(node, demand, 3)
+    assert node.platform.writes[-1][1] == drained
+    node.world.drained = ()
+    _run(node, demand, 60)
+    plans = [plan for _, plan in node.platform.writes]
+    assert plans[-1].withdrawn == ()
+    assert plans[-1].weights_of('a') == {'a': 1_000_000}
+    for before, after in pairwise(plans):
+        assert _moved(before, after) <= CAP_PPM
+        if dict(after.withdrawn).get('a2', 0) > dict(before.withdrawn).get(
+            'a2', 0
+        ):
+            assert _load(before, demand | {'a': loads[0]}, 'a') <= SLOTS * 0.85
+
+
+def test_silent_upstream_is_left_and_ramped_into() -> None:
+    """Entries that live must not hide that no server works."""
+    demand = dict.fromkeys(REGIONS, 6)
+    node = _start(World())
+    _run(node, demand, 6)
+    assert len(node.platform.writes) == 1
+    _run(node, demand, 20, silent='a')
+    left = node.platform.writes[-1][1]
+    assert _load(left, demand, 'a') == 0
+    _run(node, demand, 20)
+    plans = [plan for _, plan in node.platform.writes]
+    assert plans[-1].weights_of('a') == {'a': 1_000_000}
+    for before, after in pairwise(plans):
+        assert _moved(before, after) <= CAP_PPM
+        old, new = (_load(plan, demand, 'a') for plan in (before, after))
+        assert new <= max(old, 2 * old, 0.05 * 18) + 1e-4
+
+
+def test_upstreams_are_not_left_without_reports_of_entries() -> None:
+    """A cut between regions must not look like a failure of servers."""
+    node = _start(World())
+    _run(node, dict.fromkeys(REGIONS, 6), 2)
+    node.world.members = node.world.members[1:]
+    node.platform.mode = 'works'
+    _run(node, dict.fromkeys(REGIONS, 6), 10, silent='a')
+    assert len(node.platform.writes) == 1
