--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -27,7 +27,11 @@
 from geraniumshelf_daemon.observability.timeline import TimelineBuffer
 from geraniumshelf_daemon.settings import Settings
 from geraniumshelf_daemon.wiring.control import build_control
-from geraniumshelf_daemon.wiring.data_path import copy_loads, wire_data_path
+from geraniumshelf_daemon.wiring.data_path import (
+    copy_loads,
+    wire_data_path,
+    withdraw_drained,
+)
 from geraniumshelf_daemon.wiring.gauges import set_gauges
 from geraniumshelf_daemon.wiring.limits import Limits
 from geraniumshelf_daemon.wiring.steering import Steering
@@ -142,8 +146,10 @@
             self._control.entries.refresh(now)
             if self._control.members.is_cut_off(now):
                 self._data_path.front.end_cut_off()
-            copy_loads(
-                self._steering.collector.book, self._data_path.dispatcher.state
+            state = self._data_path.dispatcher.state
+            copy_loads(self._steering.collector.book, state)
+            withdraw_drained(
+                self._steering.applied, self._control.entries, state
             )
             set_gauges(self._control, self._data_path, now)
             await asyncio.sleep(_TICK_S)
