Spread a table of all members over the links of large fleets

Above 16 daemons each daemon knew only the peers it was linked to, so look-ups, account owners and confirmed revisions differed between daemons. Each member now publishes a versioned entry that flows over the links as a change; digests find lost changes, neighbours withdraw daemons that they lost, and a daemon that was withdrawn by mistake publishes a higher version. Requests to peers that are not linked dial a bounded link on demand. Changes of the instance list are sent instead of the whole list. Watchers that do not reach the platform step back from the rank. Confirmed revisions keep the highest value per slot.

--- a/packages/core/src/geraniumshelf_core/membership/commands.py
+++ b/packages/core/src/geraniumshelf_core/membership/commands.py
@@ -10,6 +10,7 @@
     MembershipState,
 )
 from geraniumshelf_core.messages.membership import Heartbeat, Hello, MemberList
+from geraniumshelf_core.roster.commands import withdraw
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 
 
@@ -24,7 +25,10 @@
         known.heard_at = now
     else:
         for name in _same_address(state, hello):
-            state.heard.pop(name)
+            former = state.heard.pop(name)
+            if name != hello.instance:
+                incarnation = former.hello.incarnation
+                withdraw(state.roster, name, incarnation, now)
         state.heard[hello.instance] = HeardPeer(hello, None, now)
     if hello.zone != state.own.zone:
         note_contact(state, now)
--- a/packages/core/src/geraniumshelf_core/membership/queries.py
+++ b/packages/core/src/geraniumshelf_core/membership/queries.py
@@ -4,6 +4,7 @@
 
 from geraniumshelf_core.membership.state import (
     CONTACT_STEP,
+    LATE_CONTACT,
     SILENCE_LIMIT,
     HeardPeer,
     Member,
@@ -15,6 +16,11 @@
     zone_order,
 )
 from geraniumshelf_core.messages.membership import MemberList
+from geraniumshelf_core.roster.queries import (
+    entry_window,
+    live_entries,
+    lost_zones,
+)
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 
 WATCHERS_PER_ZONE: Final = 2
@@ -23,29 +29,40 @@
 def live_members(
     state: MembershipState, revision: int, now: Nanoseconds
 ) -> tuple[Member, ...]:
-    """Return this daemon and the peers heard of late, by name.
+    """Return this daemon and all live members, by name.
+
+    Members that are not linked are taken from the table.
 
     Args:
         state: What is known.
         revision: Own configuration revision in force.
         now: Time.
     """
-    status = state.status
     members = [
-        Member(
-            state.own,
-            status.slot,
-            status.window,
-            revision,
-            status.is_leaving or _is_listed_leaving(state, state.own.instance),
-        )
+        *heard_members(state, revision, now),
+        *spread_members(state, now),
     ]
-    members.extend(
+    return tuple(sorted(members, key=lambda member: member.hello.instance))
+
+
+def heard_members(
+    state: MembershipState, revision: int, now: Nanoseconds
+) -> tuple[Member, ...]:
+    """Return this daemon and the linked peers heard of late."""
+    status = state.status
+    own = Member(
+        state.own,
+        status.slot,
+        status.window,
+        revision,
+        status.is_leaving or _is_listed_leaving(state, state.own.instance),
+    )
+    peers = (
         _member(state, peer)
         for peer in state.heard.values()
         if _is_live(peer, now)
     )
-    return tuple(sorted(members, key=lambda member: member.hello.instance))
+    return (own, *peers)
 
 
 def slot_holders(members: tuple[Member, ...]) -> dict[str, str]:
@@ -62,21 +79,26 @@
 
 
 def known_zones(state: MembershipState, now: Nanoseconds) -> dict[str, str]:
-    """Return the zone of each listed or live instance."""
-    zones = {name: listed.zone for name, listed in state.listed.items()}
-    for name, peer in state.heard.items():
-        if _is_live(peer, now):
-            zones[name] = peer.hello.zone
-    zones[state.own.instance] = state.own.zone
-    return zones
+    """Return the zone of each listed or live instance.
+
+    This includes instances that the platform does not list yet and that are
+    known through the table only. The result is kept until one of its sources
+    changes, because it is asked for with each heartbeat.
+    """
+    key = (state.roster.version, state.listed_at, _live_names(state, now))
+    if state.zones_key != key:
+        state.zones_key = key
+        state.zones = _collect_zones(state, now)
+    return state.zones
 
 
 def link_targets(state: MembershipState, now: Nanoseconds) -> dict[str, str]:
     """Return the peer addresses of the instances to link to, by name."""
     zones = known_zones(state, now)
     return {
-        name: _address(state, name)
+        name: address
         for name in linked_instances(state.own.instance, zones)
+        if (address := peer_address(state, name)) is not None
     }
 
 
@@ -96,9 +118,73 @@
         for name in zone_order(state.own.zone, zones)
         if _may_watch(state, name, name in targets, now)
     ]
+    candidates.sort(key=lambda name: is_blind(state, name))
     return tuple(candidates[:WATCHERS_PER_ZONE])
 
 
+def blind_members(state: MembershipState, now: Nanoseconds) -> tuple[str, ...]:
+    """Return the daemons of the own zone that do not reach the platform."""
+    zones = known_zones(state, now)
+    order = zone_order(state.own.zone, zones)
+    return tuple(name for name in order if is_blind(state, name))
+
+
+def is_blind(state: MembershipState, name: str) -> bool:
+    """Tell whether a daemon said that it does not reach the platform."""
+    if name == state.own.instance:
+        return state.status.is_blind
+    record = state.roster.records.get(name)
+    if record is None or record.entry.is_withdrawn:
+        return False
+    return record.entry.is_blind
+
+
+def spread_instances(
+    state: MembershipState, now: Nanoseconds
+) -> tuple[str, ...]:
+    """Return the live instances that are known through the table only."""
+    zones = known_zones(state, now)
+    if is_full_mesh(zones):
+        return ()
+    lost = lost_zones(state.roster, state.own.zone, zones)
+    return tuple(
+        name
+        for name, entry in live_entries(state.roster).items()
+        if entry.hello.zone not in lost
+        and name not in state.heard
+        and name != state.own.instance
+    )
+
+
+def spread_members(
+    state: MembershipState, now: Nanoseconds
+) -> tuple[Member, ...]:
+    """Return the live members that are known through the table only."""
+    records = state.roster.records
+    return tuple(
+        Member(
+            records[name].entry.hello,
+            records[name].entry.slot,
+            entry_window(records[name], now),
+            records[name].entry.revision,
+            records[name].entry.is_leaving or _is_listed_leaving(state, name),
+        )
+        for name in spread_instances(state, now)
+    )
+
+
+def peer_address(state: MembershipState, name: str) -> str | None:
+    """Return where a peer is reached, ``None`` if it is not known."""
+    peer = state.heard.get(name)
+    if peer is not None:
+        return peer.hello.peer_address
+    record = state.roster.records.get(name)
+    if record is not None and not record.entry.is_withdrawn:
+        return record.entry.hello.peer_address
+    listed = state.listed.get(name)
+    return None if listed is None else listed.peer_address
+
+
 def peers_behind(
     state: MembershipState, revision: int, now: Nanoseconds
 ) -> tuple[str, ...]:
@@ -137,13 +223,21 @@
     """Tell whether peers should hear of the last contact at once.
 
     In a tree, waiting for the next heartbeat at each level would add up to
-    more than the time after which a zone counts as cut off.
+    more than the time after which a zone counts as cut off. In a mesh this is
+    so only for a daemon that takes over watching.
     """
-    if state.contact_at is None or is_full_mesh(known_zones(state, now)):
+    told_at = state.told_contact_at
+    if state.contact_at is None:
         return False
-    if state.told_contact_at is None:
+    if is_full_mesh(known_zones(state, now)):
+        is_own = state.contact_at == state.platform_at
+        is_late = told_at is not None and (
+            state.contact_at - told_at > LATE_CONTACT
+        )
+        return is_own and is_late
+    if told_at is None:
         return True
-    return state.contact_at - state.told_contact_at >= CONTACT_STEP
+    return state.contact_at - told_at >= CONTACT_STEP
 
 
 def member_list(state: MembershipState, now: Nanoseconds) -> MemberList | None:
@@ -174,6 +268,22 @@
     )
 
 
+def _live_names(state: MembershipState, now: Nanoseconds) -> frozenset[str]:
+    return frozenset(
+        name for name, peer in state.heard.items() if _is_live(peer, now)
+    )
+
+
+def _collect_zones(state: MembershipState, now: Nanoseconds) -> dict[str, str]:
+    zones = {name: listed.zone for name, listed in state.listed.items()}
+    for name, entry in live_entries(state.roster).items():
+        zones[name] = entry.hello.zone
+    for name in _live_names(state, now):
+        zones[name] = state.heard[name].hello.zone
+    zones[state.own.instance] = state.own.zone
+    return zones
+
+
 def _is_behind(peer: HeardPeer, revision: int) -> bool:
     return peer.heartbeat is None or peer.heartbeat.revision < revision
 
@@ -193,13 +303,6 @@
     return now - state.started_at <= SILENCE_LIMIT
 
 
-def _address(state: MembershipState, name: str) -> str:
-    peer = state.heard.get(name)
-    if peer is None:
-        return state.listed[name].peer_address
-    return peer.hello.peer_address
-
-
 def _may_watch(
     state: MembershipState, name: str, is_linked: bool, now: Nanoseconds
 ) -> bool:
--- a/packages/core/src/geraniumshelf_core/membership/state.py
+++ b/packages/core/src/geraniumshelf_core/membership/state.py
@@ -5,6 +5,7 @@
 from attrs import Factory, define, frozen
 
 from geraniumshelf_core.messages.membership import Heartbeat, Hello
+from geraniumshelf_core.roster.state import Roster
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
 
 SILENCE_LIMIT: Final[Nanoseconds] = 3 * SECOND_NS
@@ -12,6 +13,8 @@
 # A contact that is newer by this much is told at once in a tree; it bounds
 # the heartbeats to two a second.
 CONTACT_STEP: Final[Nanoseconds] = SECOND_NS // 2
+# A contact that is newer by this much ends a gap, also in a mesh.
+LATE_CONTACT: Final[Nanoseconds] = SILENCE_LIMIT // 2
 
 
 @frozen
@@ -74,12 +77,16 @@
         window: Current request id window.
         is_leaving: Whether it is shutting down.
         sequence: Number of the last heartbeat.
+        confirmed: Revision that other zones must know to be in force here.
+        is_blind: Whether it watches the platform without reaching it.
     """
 
     slot: str = ''
     window: int = 0
     is_leaving: bool = False
     sequence: int = 0
+    confirmed: int = 0
+    is_blind: bool = False
 
 
 @define
@@ -96,6 +103,14 @@
             with the platform or another zone.
         told_contact_at: The contact that the last heartbeat told of.
         started_at: When this daemon started; its links come up for a while.
+        roster: The table of all members.
+        targets: Since when each instance is to be linked to.
+        watching_since: Since when this daemon watches the platform.
+        platform_at: When this daemon itself last reached the platform.
+        probe_at: When a daemon that does not reach it tries again.
+        probe_wait: Time before the last such try.
+        zones: Zone of each instance, kept by the query for it.
+        zones_key: What that was made from.
     """
 
     own: Hello
@@ -106,3 +121,11 @@
     contact_at: Nanoseconds | None = None
     told_contact_at: Nanoseconds | None = None
     started_at: Nanoseconds | None = None
+    roster: Roster = Factory(Roster)
+    targets: dict[str, Nanoseconds] = Factory(dict)
+    watching_since: Nanoseconds | None = None
+    platform_at: Nanoseconds | None = None
+    probe_at: Nanoseconds = 0
+    probe_wait: Nanoseconds = 0
+    zones: dict[str, str] = Factory(dict)
+    zones_key: tuple[object, ...] = ()
--- a/packages/core/src/geraniumshelf_core/messages/membership.py
+++ b/packages/core/src/geraniumshelf_core/messages/membership.py
@@ -73,3 +73,25 @@
 
     age_ms: int
     members: tuple[tuple[str, str, str, bool], ...]
+
+
+@frozen
+class MemberListChange:
+    """A newer instance list, as what differs from an older one.
+
+    Attributes:
+        age_ms: Time since it was read from the platform, milliseconds.
+        base: Digest of the older list.
+        changed: Rows of new and changed members, as in ``MemberList``.
+        removed: Names of members that are no longer listed.
+    """
+
+    age_ms: int
+    base: int
+    changed: tuple[tuple[str, str, str, bool], ...]
+    removed: tuple[str, ...]
+
+
+@frozen
+class MemberListPull:
+    """Asks for the whole instance list."""
--- a/packages/core/src/geraniumshelf_core/messages/registry.py
+++ b/packages/core/src/geraniumshelf_core/messages/registry.py
@@ -27,6 +27,13 @@
     Heartbeat,
     Hello,
     MemberList,
+    MemberListChange,
+    MemberListPull,
+)
+from geraniumshelf_core.messages.roster import (
+    MemberDigest,
+    MemberPull,
+    MemberRows,
 )
 from geraniumshelf_core.messages.steering import (
     DemandReport,
@@ -43,6 +50,11 @@
     2: Heartbeat,
     3: Failure,
     4: MemberList,
+    5: MemberRows,
+    6: MemberDigest,
+    7: MemberPull,
+    8: MemberListChange,
+    9: MemberListPull,
     10: ConfigurationRequest,
     11: ConfigurationParts,
     20: LoanRequest,
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/roster/commands.py
@@ -0,0 +1,121 @@
+"""Functions that modify the table of members."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import Any, Final
+
+from attrs import evolve
+
+from geraniumshelf_core.errors import PeerError, ResultCode
+from geraniumshelf_core.messages.membership import Hello
+from geraniumshelf_core.roster.state import (
+    WITHDRAWN_KEPT,
+    Entry,
+    Record,
+    Roster,
+)
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
+
+_HELLO_TYPES: Final = (str, str, str, str, str, int)
+_ENTRY_TYPES: Final = (int, str, int, bool, bool, bool)
+_ROW_TYPES: Final = (*_HELLO_TYPES, *_ENTRY_TYPES, int)
+_DIGEST_BYTES: Final = 8
+
+
+def publish(roster: Roster, entry: Entry, now: Nanoseconds) -> None:
+    """Make the own entry the newest one of the instance.
+
+    Args:
+        roster: The table.
+        entry: The own entry; its counter is chosen here.
+        now: Time on the own clock.
+    """
+    known = roster.records.get(entry.hello.instance)
+    counter = known.entry.counter + 1 if known else 1
+    _put(roster, Record(evolve(entry, counter=counter), 0, now), '')
+
+
+def take_rows(
+    roster: Roster, rows: Iterable[Any], source: str, now: Nanoseconds
+) -> tuple[str, ...]:
+    """Take in entries of a peer.
+
+    Args:
+        roster: The table.
+        rows: Entries in the form of ``export_rows``.
+        source: The peer.
+        now: Time on the own clock.
+
+    Returns:
+        The instances of which this daemon knows a newer entry.
+
+    Raises:
+        PeerError: ``PEER_FRAME_MALFORMED`` for rows of another form.
+    """
+    outdated = []
+    records = [_read_row(row, now) for row in rows]
+    for record in records:
+        name = record.entry.hello.instance
+        known = roster.records.get(name)
+        if known is None or known.entry.version < record.entry.version:
+            _put(roster, record, source)
+        elif known.entry.version > record.entry.version:
+            outdated.append(name)
+    return tuple(outdated)
+
+
+def withdraw(
+    roster: Roster, instance: str, incarnation: int, now: Nanoseconds
+) -> None:
+    """Mark the entry of an incarnation that is lost."""
+    known = roster.records.get(instance)
+    if known is None or known.entry.is_withdrawn:
+        return
+    if known.entry.hello.incarnation == incarnation:
+        entry = evolve(known.entry, is_withdrawn=True)
+        _put(roster, Record(entry, known.clock_offset, now), '')
+
+
+def forget_withdrawn(roster: Roster, now: Nanoseconds) -> None:
+    """Forget entries that were withdrawn long ago."""
+    for name, record in tuple(roster.records.items()):
+        age = now - record.known_at
+        if record.entry.is_withdrawn and age > WITHDRAWN_KEPT:
+            roster.records.pop(name)
+
+
+def take_changes(roster: Roster) -> dict[str, str]:
+    """Return the changes to send by instance, with their sources, once."""
+    changes = roster.changes
+    roster.changes = {}
+    return changes
+
+
+def _put(roster: Roster, record: Record, source: str) -> None:
+    name = record.entry.hello.instance
+    former = roster.records.get(name)
+    for each in (former, record):
+        if each is not None and not each.entry.is_withdrawn:
+            zone = each.entry.hello.zone
+            digest = roster.digests.get(zone, 0) ^ _digest(each.entry)
+            roster.digests[zone] = digest
+    roster.records[name] = record
+    roster.changes[name] = source
+    roster.version += 1
+
+
+def _digest(entry: Entry) -> int:
+    hello = entry.hello
+    content = f'{hello.instance} {hello.incarnation} {entry.counter}'.encode()
+    return int.from_bytes(blake2b(content, digest_size=_DIGEST_BYTES).digest())
+
+
+def _read_row(row: Any, now: Nanoseconds) -> Record:
+    cells = row if isinstance(row, tuple) else ()
+    if tuple(type(cell) for cell in cells) != _ROW_TYPES:
+        raise PeerError(
+            ResultCode.PEER_FRAME_MALFORMED, 'wrong fields in a member row'
+        )
+    count = len(_HELLO_TYPES)
+    entry = Entry(Hello(*cells[:count]), *cells[count:-1])
+    return Record(entry, cells[-1] * MILLISECOND_NS - now, now)
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/lists.py
@@ -0,0 +1,69 @@
+"""Keeps the platform's instance list the same in all linked daemons."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from geraniumshelf_core.membership import commands, queries
+from geraniumshelf_core.membership.listing import (
+    apply_list_change,
+    is_newer_list,
+    list_change,
+)
+from geraniumshelf_core.membership.state import ListedMember, MembershipState
+from geraniumshelf_core.messages.membership import (
+    MemberList,
+    MemberListChange,
+    MemberListPull,
+)
+from geraniumshelf_daemon.clock import current_time
+from geraniumshelf_daemon.peers.links import PeerLinks
+
+
+class ListExchange:
+    """Sends changes of the list; a peer with another base asks for it whole.
+
+    The whole list of 4,700 members takes 165 KB, too much for each change.
+    """
+
+    def __init__(self, state: MembershipState, links: PeerLinks) -> None:
+        self._state = state
+        self._links = links
+        links.register(MemberList, self._on_member_list)
+        links.register(MemberListChange, self._on_list_change)
+        links.register(MemberListPull, self._on_list_pull)
+
+    def greet(self, peer: str) -> None:
+        """Tell a newly linked peer which list is known here."""
+        now = current_time()
+        message = list_change(self._state, self._state.listed, now)
+        if message is not None:
+            self._links.notify(peer, message)
+
+    def tell(self, source: str, former: Mapping[str, ListedMember]) -> None:
+        """Tell peers how the list differs from the former one."""
+        message = list_change(self._state, former, current_time())
+        for peer in self._links.connected():
+            if peer != source:
+                self._links.notify(peer, message)
+
+    async def _on_member_list(self, peer: str, message: MemberList) -> Any:
+        former = self._state.listed
+        if commands.note_member_list(self._state, message, current_time()):
+            self.tell(peer, former)
+
+    async def _on_list_change(
+        self, peer: str, message: MemberListChange
+    ) -> Any:
+        now = current_time()
+        if not is_newer_list(self._state, message, now):
+            return
+        former = self._state.listed
+        if not apply_list_change(self._state, message, now):
+            self._links.notify(peer, MemberListPull())
+        elif self._state.listed != former:
+            self.tell(peer, former)
+
+    async def _on_list_pull(self, peer: str, _message: MemberListPull) -> Any:
+        message = queries.member_list(self._state, current_time())
+        if message is not None:
+            self._links.notify(peer, message)
--- a/packages/daemon/src/geraniumshelf_daemon/membership/members.py
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/members.py
@@ -1,8 +1,10 @@
 """The members as this daemon sees them."""
 
 from collections.abc import Callable
+from typing import Final
 
-from geraniumshelf_core.membership import commands, queries
+from geraniumshelf_core.idempotency.request_id import WINDOW_NS
+from geraniumshelf_core.membership import commands, queries, spreading
 from geraniumshelf_core.membership.state import (
     Member,
     MembershipState,
@@ -12,6 +14,10 @@
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.clock import current_time
 
+# The windows of members that are known through the table are worked out this
+# often; with the margin of their clocks they lag by less than one window.
+_WINDOW_STEP: Final[Nanoseconds] = WINDOW_NS // 2
+
 
 class Members:
     """Answers who is live and writes the own heartbeat."""
@@ -27,6 +33,10 @@
         self._revision = revision
         self._listeners: list[Callable[[str, Heartbeat], None]] = []
         self._relays: list[Callable[[], None]] = []
+        self._spread_key: tuple[object, ...] = ()
+        self._spread: tuple[Member, ...] = ()
+        self._live_key: tuple[object, ...] = ()
+        self._live: tuple[Member, ...] = ()
 
     @property
     def status(self) -> OwnStatus:
@@ -58,12 +68,35 @@
 
     def note_contact(self, at: Nanoseconds) -> None:
         """Take in that the platform was reached at a time."""
+        spreading.note_platform(self.state, at)
         commands.note_contact(self.state, at)
         self._relay_contact(current_time())
 
     def live(self, now: Nanoseconds) -> tuple[Member, ...]:
-        """Return this daemon and all live peers, by name."""
-        return queries.live_members(self.state, self._revision(), now)
+        """Return this daemon and all live members, by name.
+
+        The same tuple is returned while nothing has changed.
+        """
+        revision = self._revision()
+        roster = self.state.roster
+        spread_key = (
+            roster.version,
+            self.state.listed_at,
+            frozenset(self.state.heard),
+            now // _WINDOW_STEP,
+        )
+        if spread_key != self._spread_key:
+            self._spread_key = spread_key
+            self._spread = queries.spread_members(self.state, now)
+        heard = queries.heard_members(self.state, revision, now)
+        if (heard, self._spread) != self._live_key:
+            self._live_key = (heard, self._spread)
+            self._live = tuple(sorted((*heard, *self._spread), key=_name))
+        return self._live
+
+    def refresh_own(self, now: Nanoseconds) -> None:
+        """Publish the own entry if others do not have it as it is."""
+        spreading.refresh_own(self.state, self._revision(), now)
 
     def slot_holders(self, now: Nanoseconds) -> dict[str, str]:
         """Return the instance that holds each live slot."""
@@ -88,3 +121,7 @@
         if queries.is_contact_news(self.state, now):
             for relay in self._relays:
                 relay()
+
+
+def _name(member: Member) -> str:
+    return member.hello.instance
--- a/packages/daemon/src/geraniumshelf_daemon/membership/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/service.py
@@ -5,19 +5,24 @@
 from typing import Any, Final
 
 from geraniumshelf_core.errors import PlatformError, ResultCode
-from geraniumshelf_core.membership import commands, queries
-from geraniumshelf_core.membership.state import ListedMember
-from geraniumshelf_core.messages.membership import Heartbeat, Hello, MemberList
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.membership import commands, queries, spreading
+from geraniumshelf_core.membership.state import SILENCE_LIMIT, ListedMember
+from geraniumshelf_core.messages.membership import Heartbeat, Hello
+from geraniumshelf_core.roster.commands import forget_withdrawn
+from geraniumshelf_core.units import Nanoseconds, seconds_to_ns
 from geraniumshelf_daemon.clock import current_time
+from geraniumshelf_daemon.membership.lists import ListExchange
 from geraniumshelf_daemon.membership.members import Members
+from geraniumshelf_daemon.membership.spread import MemberSpread
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.peers.links import PeerLinks
 from geraniumshelf_daemon.platform.interface import Platform
 
 POLL_INTERVAL_S: Final = 5.0
 
-_STEP_S: Final = 0.5
+_STEP_S: Final = 0.25
+# After a longer step this daemon was paused and has heartbeats to read.
+_LONGEST_STEP: Final[Nanoseconds] = seconds_to_ns(1)
 
 
 class MembershipService:
@@ -50,16 +55,21 @@
         self._seeds = frozenset(seeds)
         self._tasks: tuple[asyncio.Task[None], ...] = ()
         self._was_cut_off = True
+        self._judged_from: Nanoseconds = 0
         members.subscribe_contact(links.beat_soon)
         links.subscribe(self._on_link)
         links.register(Heartbeat, self._on_heartbeat)
-        links.register(MemberList, self._on_member_list)
+        self._lists = ListExchange(self._state, links)
+        self._spread = MemberSpread(members, links)
+        links.find_address = self._find_address
 
     def start(self) -> None:
         """Start following members."""
         self._tasks = (
             asyncio.create_task(self._keep()),
             asyncio.create_task(self._poll()),
+            asyncio.create_task(self._spread.compare()),
+            asyncio.create_task(self._spread.pull()),
         )
 
     async def stop(self) -> None:
@@ -69,9 +79,19 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _keep(self) -> None:
+        last = current_time()
         while True:
             now = current_time()
+            if now - last > _LONGEST_STEP:
+                self._judged_from = now + SILENCE_LIMIT
+            last = now
+            if now >= self._judged_from:
+                spreading.withdraw_lost(self._state, now)
             commands.forget_silent(self._state, self._links.connected(), now)
+            forget_withdrawn(self._state.roster, now)
+            spreading.check_watching(self._state, now)
+            self._members.refresh_own(now)
+            self._spread.flush()
             self._direct_links(now)
             self._log_cut_off(now)
             await asyncio.sleep(_STEP_S)
@@ -80,9 +100,17 @@
         await self._read_list()
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            if self._members.is_watcher(current_time()):
+            now = current_time()
+            is_watcher = self._members.is_watcher(now)
+            if is_watcher or spreading.is_probe_due(self._state, now):
                 await self._read_list()
 
+    def _find_address(self, instance: str) -> str | None:
+        if instance in self._state.targets:
+            # It is dialed already, or down.
+            return None
+        return queries.peer_address(self._state, instance)
+
     async def _read_list(self) -> None:
         now = current_time()
         try:
@@ -96,9 +124,10 @@
             ListedMember(one.name, one.zone, one.peer_address, one.is_leaving)
             for one in listed
         ]
+        former = self._state.listed
         if commands.replace_listed(self._state, members, now):
             self._direct_links(now)
-            self._tell_members('')
+            self._lists.tell('', former)
 
     def _direct_links(self, now: Nanoseconds) -> None:
         targets = set(queries.link_targets(self._state, now).values())
@@ -109,23 +138,11 @@
     def _on_link(self, hello: Hello) -> None:
         now = current_time()
         commands.note_link(self._state, hello, now)
-        message = queries.member_list(self._state, now)
-        if message is not None:
-            self._links.notify(hello.instance, message)
+        self._lists.greet(hello.instance)
 
     async def _on_heartbeat(self, peer: str, message: Heartbeat) -> Any:
         self._members.take_heartbeat(peer, message, current_time())
 
-    async def _on_member_list(self, peer: str, message: MemberList) -> Any:
-        if commands.note_member_list(self._state, message, current_time()):
-            self._tell_members(peer)
-
-    def _tell_members(self, source: str) -> None:
-        message = queries.member_list(self._state, current_time())
-        for peer in self._links.connected():
-            if peer != source:
-                self._links.notify(peer, message)
-
     def _log_cut_off(self, now: Nanoseconds) -> None:
         is_cut_off = self._members.is_cut_off(now)
         if is_cut_off != self._was_cut_off:
--- a/packages/daemon/src/geraniumshelf_daemon/peers/dialer.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/dialer.py
@@ -14,6 +14,7 @@
 
 OPEN_TIMEOUT_S: Final = 2.0
 CLOSE_TIMEOUT_S: Final = 1.0
+ON_DEMAND_PATH: Final = '/on-demand'
 
 _FIRST_DELAY_S: Final = 0.1
 _LAST_DELAY_S: Final = 2.0
@@ -27,6 +28,8 @@
         table: LinkTable,
         run_link: Callable[[Connection], Awaitable[bool]],
         source_address: str | None,
+        *,
+        is_on_demand: bool = False,
     ) -> None:
         """Prepare dialing.
 
@@ -35,8 +38,12 @@
             run_link: Uses a connection until it is lost and returns whether
                 it was in use.
             source_address: Local IP address to dial from.
+            is_on_demand: Whether the links are for single requests; the peer
+                learns it from the path that is dialed.
         """
         self._table = table
+        self._is_on_demand = is_on_demand
+        self._path = ON_DEMAND_PATH if is_on_demand else ''
         self._run_link = run_link
         self._options: dict[str, Any] = {}
         if source_address is not None:
@@ -60,7 +67,7 @@
     async def _dial(self, address: str) -> None:
         delay_s = _FIRST_DELAY_S
         while True:
-            while self._table.has_address(address):
+            while self._is_linked(address):
                 delay_s = _FIRST_DELAY_S
                 await self._table.wait_changed()
             if await self._was_linked(address):
@@ -70,6 +77,9 @@
             await asyncio.sleep(uniform(delay_s / 2, delay_s))
             delay_s = min(2 * delay_s, _LAST_DELAY_S)
 
+    def _is_linked(self, address: str) -> bool:
+        return self._table.has_address(address, is_on_demand=self._is_on_demand)
+
     async def _was_linked(self, address: str) -> bool:
         try:
             return await self._connect(address)
@@ -78,7 +88,7 @@
 
     async def _connect(self, address: str) -> bool:
         async with connect(
-            f'ws://{address}',
+            f'ws://{address}{self._path}',
             compression=None,
             user_agent_header=None,
             proxy=None,
--- a/packages/daemon/src/geraniumshelf_daemon/peers/link.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/link.py
@@ -9,9 +9,10 @@
 
 from geraniumshelf_core.codec import Frame, decode_frame, encode_frame
 from geraniumshelf_core.errors import GeraniumshelfError, PeerError, ResultCode
-from geraniumshelf_core.messages.membership import Failure, Hello
+from geraniumshelf_core.messages.membership import Failure, Heartbeat, Hello
 from geraniumshelf_core.timeline.clock import LogicalClock
 from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
+from geraniumshelf_daemon.clock import current_time
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.peers.interface import Handler
 
@@ -38,9 +39,12 @@
         is_dialer: bool,
         clock: LogicalClock,
         handlers: Mapping[type, Handler],
+        is_on_demand: bool = False,
     ) -> None:
         self.hello = hello
         self.is_dialer = is_dialer
+        self.is_on_demand = is_on_demand
+        self.used_at = current_time()
         self._connection = connection
         self._clock = clock
         self._handlers = handlers
@@ -60,11 +64,16 @@
         self._queue.put_nowait(encoded)
         return True
 
+    def use(self, message: Any, correlation: int = 0) -> bool:
+        """Queue a message that shows that the link is in use."""
+        self.used_at = current_time()
+        return self.send(message, correlation)
+
     async def request(self, message: Any, timeout: Nanoseconds) -> Any:
         """Send a message and return the answer; raises ``PeerError``."""
         self._last_request += 2
         number = self._last_request
-        if not self.send(message, number):
+        if not self.use(message, number):
             raise PeerError(ResultCode.PEER_UNREACHABLE, 'queue is full')
         answer = asyncio.get_running_loop().create_future()
         self._pending[number] = answer
@@ -125,6 +134,8 @@
 
     def _accept(self, frame: Frame) -> None:
         number = frame.correlation
+        if not isinstance(frame.message, Heartbeat):
+            self.used_at = current_time()
         if number and number % 2 == self._last_request % 2:
             # A late or doubled answer finds no pending request.
             answer = self._pending.pop(number, None)
--- a/packages/daemon/src/geraniumshelf_daemon/peers/links.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/links.py
@@ -11,12 +11,14 @@
 from websockets.asyncio.server import Server, serve
 from websockets.exceptions import ConnectionClosed
 
-from geraniumshelf_core.errors import PeerError, ResultCode
+from geraniumshelf_core.errors import PeerError
 from geraniumshelf_core.messages.membership import Heartbeat, Hello
 from geraniumshelf_core.timeline.clock import LogicalClock
 from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.clock import current_time
 from geraniumshelf_daemon.peers.dialer import (
     CLOSE_TIMEOUT_S,
+    ON_DEMAND_PATH,
     OPEN_TIMEOUT_S,
     Dialer,
 )
@@ -27,6 +29,7 @@
     introduce,
     refuse,
 )
+from geraniumshelf_daemon.peers.on_demand import OnDemandLinks
 from geraniumshelf_daemon.peers.table import LinkTable
 
 HEARTBEAT_INTERVAL_S: Final = 1.0
@@ -39,7 +42,9 @@
     """Implements ``PeerNetwork`` over WebSocket connections.
 
     There is at most one link in use per peer. Each target is dialed with
-    back-off until it is linked, by whichever side.
+    back-off until it is linked, by whichever side. A peer that is not linked
+    is dialed when a message to it comes up, and the link is kept while it is
+    used; such a link takes no part in membership.
     """
 
     def __init__(
@@ -68,6 +73,16 @@
             partial(self._run_link, is_dialer=True),
             source_address,
         )
+        self._on_demand = OnDemandLinks(
+            self._table,
+            Dialer(
+                self._table,
+                partial(self._run_link, is_dialer=True, is_on_demand=True),
+                source_address,
+                is_on_demand=True,
+            ),
+        )
+        self.find_address: Callable[[str], str | None] = dict[str, str]().get
         self._hurry = asyncio.Event()
         self._handlers: dict[type, Handler] = {}
         self._listeners: list[Callable[[Hello], None]] = []
@@ -102,6 +117,7 @@
         for link in self._table.links():
             link.abort()
         await self._dialer.stop()
+        await self._on_demand.stop()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
@@ -121,17 +137,24 @@
     def notify(self, instance: str, message: Any) -> None:
         """Send a message without an answer; it may be lost."""
         link = self._table.find(instance)
-        if link is not None:
-            link.send(message)
+        if link is None:
+            address = self.find_address(instance)
+            self._on_demand.send_later(instance, address, message)
+        else:
+            link.use(message)
 
     async def request(
         self, instance: str, message: Any, timeout: Nanoseconds
     ) -> Any:
         """Send a message and return the answer; raises ``PeerError``."""
         link = self._table.find(instance)
-        if link is None:
-            raise PeerError(ResultCode.PEER_UNREACHABLE, 'not linked')
-        return await link.request(message, timeout)
+        if link is not None:
+            return await link.request(message, timeout)
+        started = current_time()
+        address = self.find_address(instance)
+        link = await self._on_demand.link(instance, address, timeout)
+        left = max(0, timeout - (current_time() - started))
+        return await link.request(message, left)
 
     def set_targets(self, addresses: Iterable[str]) -> None:
         """Keep links to these peer addresses and dial no others."""
@@ -147,15 +170,25 @@
                 async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
                     await self._hurry.wait()
             self._hurry.clear()
+            self._on_demand.sweep(current_time())
             heartbeat = self._heartbeat()
             for link in self._table.links():
                 link.send(heartbeat)
 
     async def _accept(self, connection: Connection) -> None:
-        await self._run_link(connection, is_dialer=False)
+        request = connection.request
+        await self._run_link(
+            connection,
+            is_dialer=False,
+            is_on_demand=request is not None and request.path == ON_DEMAND_PATH,
+        )
 
     async def _run_link(
-        self, connection: Connection, *, is_dialer: bool
+        self,
+        connection: Connection,
+        *,
+        is_dialer: bool,
+        is_on_demand: bool = False,
     ) -> bool:
         try:
             hello = await introduce(connection, self._own, self._clock.tick())
@@ -171,6 +204,7 @@
             is_dialer=is_dialer,
             clock=self._clock,
             handlers=self._handlers,
+            is_on_demand=is_on_demand,
         )
         return await self._use(link, connection)
 
@@ -178,8 +212,9 @@
         if not self._table.adopt(link):
             await connection.close(_CLOSE_DUPLICATE, 'duplicate link')
             return False
-        for listener in self._listeners:
-            listener(link.hello)
+        if not link.is_on_demand:
+            for listener in self._listeners:
+                listener(link.hello)
         link.send(self._heartbeat())
         try:
             await link.run()
--- a/packages/daemon/src/geraniumshelf_daemon/peers/table.py
+++ b/packages/daemon/src/geraniumshelf_daemon/peers/table.py
@@ -15,8 +15,10 @@
         self._changed = asyncio.Event()
 
     def instances(self) -> tuple[str, ...]:
-        """Return the instance names of linked peers."""
-        return tuple(self._links)
+        """Return the names of the peers linked for good, not on demand."""
+        return tuple(
+            name for name, link in self._links.items() if not link.is_on_demand
+        )
 
     def links(self) -> tuple[PeerLink, ...]:
         """Return all links in use."""
@@ -26,10 +28,15 @@
         """Return the link to an instance."""
         return self._links.get(instance)
 
-    def has_address(self, address: str) -> bool:
-        """Tell whether the peer at an address is linked."""
+    def has_address(self, address: str, *, is_on_demand: bool) -> bool:
+        """Tell whether the peer at an address is linked well enough.
+
+        A link on demand does not do for a peer that is to be linked for good.
+        """
         return any(
-            link.hello.peer_address == address for link in self._links.values()
+            link.hello.peer_address == address
+            for link in self._links.values()
+            if is_on_demand or not link.is_on_demand
         )
 
     async def wait_changed(self) -> None:
@@ -71,10 +78,15 @@
 def _is_preferred(link: PeerLink, rival: PeerLink, own: str) -> bool:
     """Tell whether a new link takes the place of one to the same instance.
 
-    A new incarnation wins. Of two links dialed by the same side the newer one
-    wins, because a side dials only when it has none. Otherwise both sides keep
-    the one that the instance with the smaller name dialed.
+    A new incarnation wins, then a link for good over one on demand. Of two
+    links dialed by the same side the newer one wins, because a side dials only
+    when it has none. Otherwise both sides keep the one that the instance with
+    the smaller name dialed.
     """
-    if link.hello != rival.hello or link.is_dialer == rival.is_dialer:
+    if link.hello != rival.hello:
+        return True
+    if link.is_on_demand != rival.is_on_demand:
+        return rival.is_on_demand
+    if link.is_dialer == rival.is_dialer:
         return True
     return link.is_dialer == (own < link.hello.instance)
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/confirmation.py
@@ -0,0 +1,44 @@
+"""Tells all members which layout of slots is in force here."""
+
+import asyncio
+from random import uniform
+from typing import Final
+
+from attrs import define, field
+
+from geraniumshelf_core.allowance.floors import Layout, slot_layout
+from geraniumshelf_core.configuration.model import Configuration
+from geraniumshelf_daemon.clock import current_time
+from geraniumshelf_daemon.membership.members import Members
+from geraniumshelf_daemon.replication.interface import ConfigurationSource
+
+# All members confirm a layout; in a fleet of 4,700 their entries are spread
+# over three minutes instead of coming at once.
+_SPREAD_PER_MEMBER_S: Final = 0.04
+
+
+@define(eq=False)
+class LayoutConfirmation:
+    """Confirms a revision when it changes the layout of slots.
+
+    Shares wait for confirmations of changed layouts only, which are rare; a
+    confirmation of each revision by each member would exceed the bandwidth of
+    the control plane.
+    """
+
+    _members: Members
+    _source: ConfigurationSource
+    _layout: Layout | None = field(default=None, init=False)
+
+    def apply(self, configuration: Configuration) -> None:
+        """Confirm a new revision soon if its layout is another one."""
+        layout = slot_layout(configuration)
+        if layout == self._layout:
+            return
+        self._layout = layout
+        count = len(self._members.live(current_time()))
+        delay_s = uniform(0, _SPREAD_PER_MEMBER_S * count)
+        asyncio.get_running_loop().call_later(delay_s, self._confirm)
+
+    def _confirm(self) -> None:
+        self._members.status.confirmed = self._source.revision
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/control.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/control.py
@@ -11,6 +11,7 @@
 from geraniumshelf_daemon.replication.holder import ConfigurationHolder
 from geraniumshelf_daemon.replication.service import Replication
 from geraniumshelf_daemon.settings import Settings
+from geraniumshelf_daemon.wiring.confirmation import LayoutConfirmation
 from geraniumshelf_daemon.wiring.entries import MemberEntries
 from geraniumshelf_daemon.wiring.format import StoredFormat
 
@@ -43,6 +44,9 @@
         self.holder = ConfigurationHolder(StoredFormat())
         self.members = Members(self.hello, lambda: self.holder.revision)
         self.entries = MemberEntries(self.members)
+        self.holder.subscribe(
+            LayoutConfirmation(self.members, self.holder).apply
+        )
 
     def connect(self, settings: Settings) -> None:
         """Build links and what uses them."""
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/entries.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/entries.py
@@ -21,6 +21,10 @@
     _members: Members
     _entries: tuple[EntryInstance, ...] = field(default=(), init=False)
     _version: int = field(default=0, init=False)
+    _made: dict[str, tuple[Member, EntryInstance]] = field(
+        factory=dict, init=False
+    )
+    _live: tuple[Member, ...] = field(default=(), init=False)
 
     @property
     def version(self) -> int:
@@ -29,7 +33,15 @@
 
     def refresh(self, now: Nanoseconds) -> None:
         """Take over the live members."""
-        entries = tuple(map(_entry, self._members.live(now)))
+        live = self._members.live(now)
+        if live is self._live:
+            return
+        self._live = live
+        self._made = {
+            member.hello.instance: (member, self._entry(member))
+            for member in live
+        }
+        entries = tuple(entry for _, entry in self._made.values())
         if entries != self._entries:
             self._entries = entries
             self._version += 1
@@ -45,11 +57,17 @@
             slot: First part of the request id: the instance name.
             incarnation: Incarnation in the request id.
         """
-        for member in self._members.live(current_time()):
-            hello = member.hello
-            if (hello.instance, hello.incarnation) == (slot, incarnation):
-                return hello.instance
-        return None
+        self.refresh(current_time())
+        made = self._made.get(slot)
+        if made is None or made[0].hello.incarnation != incarnation:
+            return None
+        return slot
+
+    def _entry(self, member: Member) -> EntryInstance:
+        made = self._made.get(member.hello.instance)
+        if made is not None and made[0] is member:
+            return made[1]
+        return _entry(member)
 
 
 def _entry(member: Member) -> EntryInstance:
--- /dev/null
+++ b/tests/daemon/membership/test_spread.py
@@ -0,0 +1,210 @@
+"""Guards what each daemon knows of a fleet that is not a full mesh."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+from tests.daemon.loopback import run_scenario, until
+from tests.daemon.replication.fakes import Daemon
+
+from geraniumshelf_core.errors import PeerError, ResultCode
+from geraniumshelf_core.membership import spreading
+from geraniumshelf_core.messages.configuration import (
+    ConfigurationParts,
+    ConfigurationRequest,
+)
+from geraniumshelf_core.roster import commands
+from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_daemon.clock import current_time
+from geraniumshelf_daemon.peers import on_demand
+from geraniumshelf_daemon.wiring.slots import SlotMembers
+from geraniumshelf_standins.platform.commands import replace_faults
+from geraniumshelf_standins.platform.server import PlatformServer
+from geraniumshelf_standins.platform.state import Fault
+
+_ASK = ConfigurationRequest(('d',))
+
+
+async def _answer(_peer: str, _message: object) -> ConfigurationParts:
+    return ConfigurationParts(b'here', ())
+
+
+async def _fleet(stack: AsyncExitStack, zones: str) -> list[Daemon]:
+    server = PlatformServer()
+    server.start()
+    stack.push_async_callback(server.stop)
+    fleet = [
+        Daemon(server, f'i{number:02}', zone, source=f'127.0.1.{number + 1}')
+        for number, zone in enumerate(zones)
+    ]
+    for daemon in fleet:
+        daemon.declare(server)
+        daemon.members.status.slot = f'a/{daemon.hello.instance}'
+    for daemon in fleet:
+        await stack.enter_async_context(daemon)
+    return fleet
+
+
+def _names(daemon: Daemon) -> set[str]:
+    live = daemon.members.live(current_time())
+    return {member.hello.instance for member in live}
+
+
+async def _all_know(fleet: list[Daemon], names: set[str]) -> None:
+    await until(lambda: all(_names(daemon) == names for daemon in fleet))
+
+
+def _link_count(daemon: Daemon) -> int:
+    return len(daemon.links._table.links())
+
+
+def _far_pair(fleet: list[Daemon]) -> tuple[Daemon, Daemon]:
+    for one in fleet:
+        for other in fleet:
+            targets = one.members.state.targets
+            if other is not one and other.hello.instance not in targets:
+                return one, other
+    raise AssertionError('all are linked')
+
+
+def test_all_members_are_known_in_a_tree() -> None:
+    """Look-ups and owners must not depend on who is linked to whom."""
+
+    async def scenario(stack: AsyncExitStack) -> None:
+        fleet = await _fleet(stack, 'a' * 15 + 'b' * 15)
+        names = {daemon.hello.instance for daemon in fleet}
+        await _all_know(fleet, names)
+        views = [SlotMembers(daemon.members) for daemon in fleet]
+        await until(lambda: all(len(v.slot_holders()) == 30 for v in views))
+        assert any(len(d.links.connected()) < 29 for d in fleet)
+
+        # One is killed, one leaves.
+        killed, leaver = fleet.pop(), fleet.pop()
+        await killed.membership.stop()
+        await killed.links.stop()
+        leaver.members.status.is_leaving = True
+        await _all_know(fleet, names - {killed.hello.instance})
+        await until(
+            lambda: all(
+                member.is_leaving
+                for daemon in fleet
+                for member in daemon.members.live(current_time())
+                if member.hello.instance == leaver.hello.instance
+            )
+        )
+
+        # One is replaced under the address of the killed one.
+        port = int(killed.address.rpartition(':')[2])
+        successor = Daemon(killed.server, 'successor', 'b', port=port)
+        await stack.enter_async_context(successor)
+        fleet.append(successor)
+        await _all_know(fleet, names - {killed.hello.instance} | {'successor'})
+
+    run_scenario(scenario)
+
+
+def test_daemon_withdrawn_by_mistake_comes_back() -> None:
+    """A neighbour that was cut off must not remove a live daemon."""
+
+    async def scenario(stack: AsyncExitStack) -> None:
+        fleet = await _fleet(stack, 'a' * 18)
+        names = {daemon.hello.instance for daemon in fleet}
+        await _all_know(fleet, names)
+        one, other = _far_pair(fleet)
+        roster = one.members.state.roster
+        before = roster.records[other.hello.instance].entry
+        commands.withdraw(
+            roster, other.hello.instance, other.hello.incarnation, 0
+        )
+        await until(
+            lambda: (
+                roster.records[other.hello.instance].entry.counter
+                > before.counter
+            )
+        )
+        await _all_know(fleet, names)
+
+    run_scenario(scenario)
+
+
+def test_peer_that_is_not_linked_is_dialed_for_a_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Owners and deciders must be reached in a tree, without keeping links."""
+
+    async def scenario(stack: AsyncExitStack) -> None:
+        fleet = await _fleet(stack, 'a' * 18)
+        names = {daemon.hello.instance for daemon in fleet}
+        await _all_know(fleet, names)
+        one, other = _far_pair(fleet)
+        for daemon in (one, other):
+            daemon.links.register(ConfigurationRequest, _answer)
+        name = other.hello.instance
+        linked = one.links.connected()
+        answer = await one.links.request(name, _ASK, 5 * SECOND_NS)
+        assert answer.head == b'here'
+        back = await other.links.request(
+            one.hello.instance, _ASK, 5 * SECOND_NS
+        )
+        assert isinstance(back, ConfigurationParts)
+        assert one.links.connected() == linked
+        assert one.hello.instance not in other.links.connected()
+        monkeypatch.setattr(on_demand, 'IDLE_LIMIT', 0)
+        await until(lambda: _link_count(one) == len(linked))
+        await _all_know(fleet, names)
+        with pytest.raises(PeerError) as caught:
+            await one.links.request('nobody', _ASK, SECOND_NS)
+        assert caught.value.code is ResultCode.PEER_UNREACHABLE
+
+    run_scenario(scenario)
+
+
+def test_links_on_demand_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Requests to many owners must not make a full mesh again."""
+    monkeypatch.setattr(on_demand, 'LINK_LIMIT', 2)
+
+    async def scenario(stack: AsyncExitStack) -> None:
+        fleet = await _fleet(stack, 'a' * 20)
+        await _all_know(fleet, {daemon.hello.instance for daemon in fleet})
+        one, _ = _far_pair(fleet)
+        targets = {one.hello.instance, *one.members.state.targets}
+        far = [d for d in fleet if d.hello.instance not in targets]
+        assert len(far) > 2
+        for daemon in far:
+            daemon.links.register(ConfigurationRequest, _answer)
+            name = daemon.hello.instance
+            await one.links.request(name, _ASK, 5 * SECOND_NS)
+        await until(lambda: _link_count(one) <= len(targets) + 1)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('zones', ['aaaa', 'a' * 18])
+def test_others_take_over_watching(
+    zones: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Watchers that alone lost the platform must not cut off their zone."""
+    monkeypatch.setattr(spreading, 'PROBE_WAIT', SECOND_NS)
+
+    async def scenario(stack: AsyncExitStack) -> None:
+        fleet = await _fleet(stack, zones)
+        await _all_know(fleet, {daemon.hello.instance for daemon in fleet})
+        await until(lambda: sum(d.is_watcher for d in fleet) == 2)
+        first = [daemon for daemon in fleet if daemon.is_watcher]
+        callers = tuple(daemon.source for daemon in first)
+        server = fleet[0].server
+        replace_faults(server.state, (Fault(callers, down='refuse'),))
+        await until(
+            lambda: (
+                sum(d.is_watcher for d in fleet) == 2
+                and not any(daemon.is_watcher for daemon in first)
+            )
+        )
+        taken_at = current_time()
+        while current_time() < taken_at + 4 * SECOND_NS:
+            assert not any(d.members.is_cut_off(current_time()) for d in fleet)
+            await asyncio.sleep(0.05)
+        replace_faults(server.state, ())
+        await until(lambda: all(daemon.is_watcher for daemon in first))
+
+    run_scenario(scenario)
--- a/tests/daemon/replication/fakes.py
+++ b/tests/daemon/replication/fakes.py
@@ -56,8 +56,11 @@
         *,
         source: str = '127.0.0.1',
         seeds: Sequence[str] = (),
+        port: int = 0,
     ) -> None:
-        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.server = server
+        self.source = source
+        self._listener = socket.create_server(('127.0.0.1', port))
         self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
         self.hello = Hello(name, zone, 'r', '', self.address, len(name))
         self.holder = ConfigurationHolder(TextFormat())
--- /dev/null
+++ b/tests/daemon/wiring/test_slots.py
@@ -0,0 +1,36 @@
+"""Guards what the allowances are told of the holders of slots."""
+
+from geraniumshelf_core.membership import spreading
+from geraniumshelf_core.membership.commands import note_link
+from geraniumshelf_core.membership.state import MembershipState
+from geraniumshelf_core.messages.membership import Heartbeat, Hello
+from geraniumshelf_core.roster.commands import take_rows
+from geraniumshelf_core.roster.queries import export_rows
+from geraniumshelf_daemon.clock import current_time
+from geraniumshelf_daemon.membership.members import Members
+from geraniumshelf_daemon.wiring.slots import SlotMembers
+
+
+def _hello(name: str, incarnation: int = 1) -> Hello:
+    return Hello(name, 'z', 'r', '', name, incarnation)
+
+
+def test_confirmed_revisions_never_fall_and_include_the_table() -> None:
+    """A holder that restarts must not hold up the growth of shares."""
+    members = Members(_hello('own'), lambda: 7)
+    slots = SlotMembers(members)
+    for incarnation, revision in ((1, 5), (2, 0)):
+        now = current_time()
+        note_link(members.state, _hello('peer', incarnation), now)
+        beat = Heartbeat(incarnation, 1, revision, 'z/1', 0, False, -1)
+        members.take_heartbeat('peer', beat, now)
+        assert slots.confirmed_revisions() == {'z/1': 5}
+    far = MembershipState(_hello('far'))
+    far.status.slot = 'z/2'
+    for revision, expected in ((3, 3), (4, 3), (6, 6)):
+        # Only a revision with another layout is confirmed to all.
+        far.status.confirmed = 6 if revision == 6 else 0
+        spreading.refresh_own(far, revision, 0)
+        rows = export_rows(far.roster, ('far',), 0)
+        take_rows(members.state.roster, rows, 'peer', 0)
+        assert slots.confirmed_revisions() == {'z/1': 5, 'z/2': expected}
