--- a/packages/daemon/src/geraniumshelf_daemon/wiring/slots.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/slots.py
@@ -12,12 +12,10 @@
 
 @define
 class SlotMembers:
-    """Implements ``MembershipView`` over heartbeats."""
+    """Implements ``MembershipView`` over heartbeats and the table."""
 
     _members: Members
-    _confirmed: dict[str, tuple[Nanoseconds, int]] = field(
-        factory=dict, init=False
-    )
+    _heard: dict[str, tuple[Nanoseconds, int]] = field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._members.subscribe(self._note)
@@ -27,16 +25,27 @@
         return self._members.slot_holders(current_time())
 
     def confirmed_revisions(self, after: Nanoseconds) -> Mapping[str, int]:
-        """Return the last revision by slot in heartbeats after a time."""
+        """Return the last revision by slot that was told after a time.
+
+        It is not the highest one: a holder that restarts may read an older
+        revision from a platform that lags.
+        """
+        told = {
+            record.entry.slot: (record.known_at, record.entry.revision)
+            for record in self._members.state.roster.records.values()
+            if record.entry.slot
+        }
+        told.update(
+            (slot, max(heard, told.get(slot, heard)))
+            for slot, heard in self._heard.items()
+        )
         return {
             slot: revision
-            for slot, (heard_at, revision) in self._confirmed.items()
-            if heard_at > after
+            for slot, (told_at, revision) in told.items()
+            if told_at > after
         }
 
     def _note(self, _peer: str, heartbeat: Heartbeat) -> None:
         if heartbeat.slot:
-            self._confirmed[heartbeat.slot] = (
-                current_time(),
-                heartbeat.revision,
-            )
+            now = current_time()
+            self._heard[heartbeat.slot] = (now, heartbeat.revision)
