Test spills by the dispatcher, catching up with zones and ejection

The property test of ejection did not find by itself that leaving servers counted as remaining ones; its explicit examples fail without that change.

--- a/tests/core/dispatch/test_selection.py
+++ b/tests/core/dispatch/test_selection.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from geraniumshelf_core.configuration.model import BackendServer
@@ -147,6 +147,8 @@
         assert retries <= 3 + requests / 10
 
 
+@example([('leave', 0), ('leave', 1), ('leave', 2), ('bad', 3)], 2)
+@example([('drain', 1), ('bad', 1), ('bad', 3)], 3)
 @given(
     st.lists(
         st.tuples(
--- a/tests/daemon/failover/test_budget.py
+++ b/tests/daemon/failover/test_budget.py
@@ -1,14 +1,23 @@
 """Guards the allowance towards other regions in every span of time."""
 
+import asyncio
+from random import Random
 from types import SimpleNamespace
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from geraniumshelf_core.configuration.model import (
+    BackendServer,
+    Configuration,
+    Zone,
+)
+from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.lookup.shares import initial_shares
 from geraniumshelf_core.plan.model import Plan, SourcePlan
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS
 from geraniumshelf_daemon.failover.budget import FailoverBudget
+from geraniumshelf_daemon.upstream.dispatcher import Dispatcher, Need
 
 _SPAN = 10 * SECOND_NS
 
@@ -62,3 +71,33 @@
         budget.arrive('s', now)
         sent += _send(budget, now)
     assert 0.9 * 600 <= sent <= 600 + 10
+
+
+def test_requests_spill_at_once_when_all_home_servers_fail() -> None:
+    """Failed servers must not keep requests from the allowance or exceed it."""
+    now = 0
+    dispatcher = Dispatcher(
+        Place('a1', 'a'), _budget(200_000), lambda: now, Random(1)
+    )
+    dispatcher.apply(
+        Configuration(
+            'd',
+            zones=(Zone('a1', 'a', 1), Zone('b1', 'b', 1)),
+            servers=tuple(
+                BackendServer(f'{zone}{n}', 's', zone, f'{zone}{n}', 9, 9)
+                for zone in ('a1', 'b1')
+                for n in range(3)
+            ),
+        )
+    )
+    sent: list[int] = []
+    for number in range(3000):
+        now = number * 10 * MILLISECOND_NS
+        server = asyncio.run(dispatcher.reserve(Need('s', '', False, now)))
+        dispatcher.release(server, is_failure=server.region == 'a')
+        if server.region == 'b':
+            sent.append(now)
+        recent = sum(now - time < _SPAN for time in sent)
+        assert recent <= 0.2 * min(number + 1, 1001) + 1
+    assert sent[0] < SECOND_NS
+    assert len(sent) > 0.18 * 3000
--- a/tests/daemon/steering/test_zone_drains.py
+++ b/tests/daemon/steering/test_zone_drains.py
@@ -1,6 +1,7 @@
 """Guards drains of single zones and failures of whole upstreams."""
 
 from itertools import pairwise
+from types import SimpleNamespace
 
 from attrs import define, evolve
 from hypothesis import given, settings
@@ -20,9 +21,18 @@
     Configuration,
     Zone,
 )
+from geraniumshelf_core.dispatch.commands import replace_servers
+from geraniumshelf_core.dispatch.state import DispatchState, Place
+from geraniumshelf_core.lookup.answer import EntryInstance
 from geraniumshelf_core.lookup.shares import count_moved
+from geraniumshelf_core.plan.approach import approach_plan
 from geraniumshelf_core.plan.model import Plan
 from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_daemon.wiring.data_path import withdraw_drained
+
+TWO_ENTRIES = tuple(
+    EntryInstance(zone, zone, 'a', zone, 'p') for zone in ('a1', 'a2')
+)
 
 
 @define
@@ -106,6 +116,41 @@
             assert _load(before, demand | {'a': loads[0]}, 'a') <= SLOTS * 0.85
 
 
+def test_rejoining_daemon_catches_up_in_capped_steps() -> None:
+    """Zones and regions together must not exceed the cap of a step."""
+    demand = dict.fromkeys(REGIONS, 10)
+    node = _start(TwoZones())
+    _run(node, demand, 1)
+    first = node.platform.writes[-1][1]
+    node.world.drained = ('a2', 'b')
+    _run(node, demand, 15)
+    last = node.platform.writes[-1][1]
+    assert last.withdrawn
+    assert _moved(first, last) > 3 * CAP_PPM
+    plan, count = first, 0
+    while plan is not last:
+        step = approach_plan(plan, last, CAP_PPM)
+        assert step.is_move
+        assert _moved(plan, step.plan) <= CAP_PPM
+        plan, count = step.plan, count + 1
+    assert count <= last.revision
+
+
+def test_servers_of_an_empty_zone_get_no_new_work() -> None:
+    """A server must not be withdrawn while callers are sent to its zone."""
+    world = TwoZones(members=TWO_ENTRIES)
+    state = DispatchState(Place('a1', 'a'))
+    configuration = world.configuration
+    regions = {zone.name: zone.region for zone in configuration.zones}
+    replace_servers(state, configuration.servers, regions, 0)
+    for points, expected in ((0, False), (499_999, False), (500_000, True)):
+        plan = Plan('s', 1, 'p', (), (('a2', points),))
+        plans = SimpleNamespace(plan={'s': plan}.get)
+        withdraw_drained(plans, world, state)
+        assert state.servers['ax'].is_withdrawn is expected
+        assert not state.servers['a'].is_withdrawn
+
+
 def test_silent_upstream_is_left_and_ramped_into() -> None:
     """Entries that live must not hide that no server works."""
     demand = dict.fromkeys(REGIONS, 6)
