--- a/packages/core/src/geraniumshelf_core/dispatch/commands.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/commands.py
@@ -93,12 +93,16 @@
 
 
 def withdraw_zones(
-    state: DispatchState, service: str, zones: Collection[str]
+    state: DispatchState,
+    service: str,
+    zones: Collection[str],
+    now: Nanoseconds,
 ) -> None:
     """Give no new work to the servers of drained zones.
 
     Servers of a region that has no others for the service stay in use, since
-    a drained place serves what still arrives.
+    a drained place serves what still arrives. A server that comes back starts
+    slowly.
     """
     servers = [state.servers[name] for name in state.services.get(service, ())]
     served = {
@@ -107,9 +111,10 @@
         if server.server.zone not in zones and not server.is_leaving
     }
     for server in servers:
-        server.is_withdrawn = (
-            server.server.zone in zones and server.region in served
-        )
+        is_withdrawn = server.server.zone in zones and server.region in served
+        if server.is_withdrawn and not is_withdrawn:
+            server.available_since = now
+        server.is_withdrawn = is_withdrawn
 
 
 def earn_retries(budget: RetryBudget) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/data_path.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/data_path.py
@@ -165,4 +165,4 @@
                 server.server.zone,
             )
         }
-        withdraw_zones(state, service, empty)
+        withdraw_zones(state, service, empty, current_time())
--- a/tests/core/dispatch/test_selection.py
+++ b/tests/core/dispatch/test_selection.py
@@ -178,7 +178,11 @@
             case 'leave' | 'stay':
                 record_report(server, 2, step == 'leave', now)
             case 'drain':
-                withdraw_zones(state, 'desk', {'a1'} if number % 2 else ())
+                were = [s for s in state.servers.values() if s.is_withdrawn]
+                zones = {'a1'} if number % 2 else ()
+                withdraw_zones(state, 'desk', zones, now)
+                back = [s for s in were if not s.is_withdrawn]
+                assert all(s.available_since == now for s in back)
                 open_zone = [
                     s
                     for s in state.servers.values()
