--- a/tests/core/dispatch/test_selection.py
+++ b/tests/core/dispatch/test_selection.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from geraniumshelf_core.configuration.model import BackendServer
@@ -147,6 +147,8 @@
         assert retries <= 3 + requests / 10
 
 
+@example([('leave', 0), ('leave', 1), ('leave', 2), ('bad', 3)], 2)
+@example([('drain', 1), ('bad', 1), ('bad', 3)], 3)
 @given(
     st.lists(
         st.tuples(
@@ -176,7 +178,11 @@
             case 'leave' | 'stay':
                 record_report(server, 2, step == 'leave', now)
             case 'drain':
-                withdraw_zones(state, 'desk', {'a1'} if number % 2 else ())
+                were = [s for s in state.servers.values() if s.is_withdrawn]
+                zones = {'a1'} if number % 2 else ()
+                withdraw_zones(state, 'desk', zones, now)
+                back = [s for s in were if not s.is_withdrawn]
+                assert all(s.available_since == now for s in back)
                 open_zone = [
                     s
                     for s in state.servers.values()
