--- a/packages/standins/src/geraniumshelf_standins/fleet/fleet.py
+++ b/packages/standins/src/geraniumshelf_standins/fleet/fleet.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import json
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from http import HTTPStatus
+from itertools import count
 from pathlib import Path
 from typing import Any, Final
 
@@ -44,6 +45,7 @@
     backends: dict[str, ChildProcess] = field(factory=dict)
     daemons: dict[str, ChildProcess] = field(factory=dict)
     relays: PeerRelays | None = None
+    _orders: Iterator[int] = field(factory=count)
 
     @property
     def platform_url(self) -> str:
@@ -169,7 +171,7 @@
             'operator',
             'geraniumshelf_cli.main',
             arguments,
-            self.folder / f'operator-{id(arguments):x}',
+            self.folder / f'operator-{next(self._orders)}',
             {'GERANIUMSHELF_PLATFORM_URL': self.platform_url},
         )
         status = await child.wait(_START_TIMEOUT_S)
@@ -192,19 +194,6 @@
             rows.insert(0, {'only_from': hosts, 'down': 'refuse'})
         await put_json(f'{self.platform_url}/v1/faults', rows)
 
-    async def set_server_faults(self, name: str, **faults: Any) -> None:
-        """Set faults of a backend server by the names of their fields."""
-        server = self.server(name)
-        await put_json(f'http://{server.address}/-/faults', faults)
-
-    def server(self, name: str) -> BackendServer:
-        """Return a backend server by name."""
-        return next(
-            server
-            for server in self.deployment.configuration.servers
-            if server.name == name
-        )
-
     async def end(self) -> None:
         """End all processes at once."""
         if self.relays is not None:
--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -36,6 +36,8 @@
 CAP_PPM = 200_000
 STEP_S = 5
 BLOCKS = 250
+# Clients of region north and of region south have addresses 127.N.x.y.
+CLIENT_NETWORKS = (200, 201)
 
 
 def key_of(account: str) -> str:
@@ -124,5 +126,6 @@
             address = f'127.{_TEMPLATE_NETWORK}.{index}.{place}:18080'
             yield f'address = "{address}"\nslots = {slots}\nconnections = 200'
     for block in range(BLOCKS):
-        yield f'[[blocks]]\nnetwork = "10.{number}.{block}.0/24"'
+        network = f'127.{CLIENT_NETWORKS[number]}.{block}.0/24'
+        yield f'[[blocks]]\nnetwork = "{network}"'
         yield f'region = "{region}"'
--- a/tests/process/judges.py
+++ b/tests/process/judges.py
@@ -46,7 +46,7 @@
 def rate_excess(
     times_ns: Iterable[int], rate_per_s: float, burst: float
 ) -> float:
-    """Return by how much the worst interval exceeds rate times time plus burst."""
+    """Return the worst excess over rate times time plus burst."""
     tokens = burst
     worst = 0.0
     last = None
--- a/tests/process/test_requests.py
+++ b/tests/process/test_requests.py
@@ -156,12 +156,12 @@
         first, second = 'stock-north-a', 'stock-south-b'
         async with world.load((read, 0.02)):
             await asyncio.sleep(1)
-            await world.fleet.set_server_faults(first, late_ms=700)
+            await world.set_server_faults(first, late_ms=700)
             await asyncio.sleep(1)
-            await world.fleet.set_server_faults(second, cut_after=1000)
+            await world.set_server_faults(second, cut_after=1000)
             await asyncio.sleep(2)
-            await world.fleet.set_server_faults(first, late_ms=0, silence=1)
-            await world.fleet.set_server_faults(second, cut_after=None)
+            await world.set_server_faults(first, late_ms=0, silence=1)
+            await world.set_server_faults(second, cut_after=None)
             await asyncio.sleep(1)
         served = [outcome for outcome, _ in answers if outcome.is_served]
         assert len(served) > len(answers) / 2
@@ -181,10 +181,10 @@
 
         async with world.load((sell, 0.02)):
             await asyncio.sleep(0.5)
-            await world.fleet.set_server_faults('sale-north-a', drain=True)
+            await world.set_server_faults('sale-north-a', drain=True)
             left = time.monotonic_ns()
             await asyncio.sleep(TARGET_S + BUSY_MARGIN_S + 2)
-            await world.fleet.set_server_faults('sale-north-a', drain=False)
+            await world.set_server_faults('sale-north-a', drain=False)
         limit = left + int((TARGET_S + BUSY_MARGIN_S) * _SECOND_NS)
         records = await world.records_of('sale-north-a')
         assert records
--- a/tests/process/test_runs.py
+++ b/tests/process/test_runs.py
@@ -60,7 +60,7 @@
         async with world.load((sell, 0.04), (prefixes.refresh, 1)):
             await asyncio.sleep(1)
             world.signal('north-b-0', signal.SIGSTOP)
-            await world.fleet.set_server_faults('sale-north-a', silence=1)
+            await world.set_server_faults('sale-north-a', silence=1)
             await asyncio.sleep(1)
             await world.kill('south-a-0')
             await asyncio.sleep(1)
@@ -68,7 +68,7 @@
             world.fleet.relays.silence(('north-a-0',))
             await asyncio.sleep(PAST_EVERY_LEASE_S - 2)
             world.signal('north-b-0', signal.SIGCONT)
-            await world.fleet.set_server_faults('sale-south-b', silence=1)
+            await world.set_server_faults('sale-south-b', silence=1)
             await asyncio.sleep(2)
         await world.wait_all()
         await _judge(world, least_served=100)
--- a/tests/process/world.py
+++ b/tests/process/world.py
@@ -18,7 +18,7 @@
 )
 
 from geraniumshelf_standins.caller.client import Caller, Job, Outcome
-from geraniumshelf_standins.fleet.fleet import Fleet, fetch_json
+from geraniumshelf_standins.fleet.fleet import Fleet, fetch_json, put_json
 from geraniumshelf_standins.fleet.relays import PeerRelays
 
 # Design target for a withdrawn key, a new revision and a leaving server.
@@ -138,10 +138,19 @@
 
     async def records_of(self, name: str) -> list[dict[str, Any]]:
         """Return what one backend server recorded of callers' requests."""
-        address = self.fleet.server(name).address
+        address = self.server_address(name)
         content = await fetch_json(f'http://{address}/-/records')
         return list(content['records'])
 
+    async def set_server_faults(self, name: str, **faults: Any) -> None:
+        """Set faults of a backend server by the names of their fields."""
+        await put_json(f'http://{self.server_address(name)}/-/faults', faults)
+
+    def server_address(self, name: str) -> str:
+        """Return the address of a backend server."""
+        servers = self.fleet.deployment.configuration.servers
+        return next(one.address for one in servers if one.name == name)
+
     async def status(self, daemon: str) -> dict[str, Any]:
         """Return the status of a daemon, empty if it does not answer."""
         address = self.fleet.places[daemon].operator_address
