Keep the connection when a server answers at once

Tornado closes a client connection whose request ends after its answer has begun. Requests without a body now end with their head. The new test failed before.

--- a/packages/daemon/src/geraniumshelf_daemon/upstream/exchange.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/exchange.py
@@ -74,6 +74,10 @@
             OSError: If the connection was closed.
         """
         writing = self._connection.write_headers(self._start_line, headers)
+        if not _announces_body(headers):
+            # Tornado closes the connection when a request ends after its
+            # answer has begun, and a fast server answers before the next step.
+            self.finish()
         self._reader = asyncio.ensure_future(
             _read(self._connection, self._delegate)
         )
@@ -86,9 +90,10 @@
         await _until_done_or_closed(writing, self._reader)
 
     def finish(self) -> None:
-        """End the request body."""
-        self._connection.finish()
-        self._is_sent = True
+        """End the request body; a request without one has ended."""
+        if not self._is_sent:
+            self._connection.finish()
+            self._is_sent = True
 
     async def wait_head(self) -> Head:
         """Return status, reason and headers of the answer.
@@ -167,6 +172,12 @@
         return 'Content-Length' in headers or 'Transfer-Encoding' in headers
 
 
+def _announces_body(headers: HTTPHeaders) -> bool:
+    if 'Transfer-Encoding' in headers:
+        return True
+    return headers.get('Content-Length', '0') != '0'
+
+
 async def _read(connection: HTTP1Connection, delegate: _AnswerDelegate) -> bool:
     try:
         return await connection.read_response(delegate)
--- /dev/null
+++ b/tests/daemon/upstream/test_exchange.py
@@ -0,0 +1,45 @@
+"""Guards the reuse of connections to backend servers."""
+
+import asyncio
+
+from tests.daemon.front.harness import run
+from tornado.httputil import HTTPHeaders
+from tornado.tcpclient import TCPClient
+
+from geraniumshelf_daemon.upstream.exchange import Exchange
+
+_HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n'
+
+
+def test_answer_before_the_end_of_a_request_keeps_the_connection() -> None:
+    """A new connection for each fast answer costs about 1 ms."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(_HEAD)
+        await asked.wait()
+        writer.write(b'ok')
+        await reader.read()
+        writer.close()
+
+    asked = asyncio.Event()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        stream = await TCPClient().connect('127.0.0.1', port)
+        exchange = Exchange(stream, 'GET', '/')
+        await exchange.start(HTTPHeaders({'Host': 'x'}))
+        await exchange.wait_head()
+        exchange.finish()
+        asked.set()
+        assert await exchange.body.take() == b'ok'
+        assert await exchange.body.take() == b''
+        assert await exchange.settle()
+        assert not stream.closed()
+        stream.close()
+        server.close()
+
+    run(scenario)
