Split single blocks and count new traffic at once

Cause of two faults seen with real daemons: a client block had one point, so a region that declares one block moved as a whole; the mean of demand rose from zero over 15 s, so a drain right after traffic began counted on empty regions. Ruled out: the plan's steps, which kept the cap and the room. Change: the point is that of the client address; a rise of demand counts at once and a fall by half of it each report.

--- a/packages/daemon/src/geraniumshelf_daemon/lookups/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/lookups/service.py
@@ -146,10 +146,9 @@
             packed = socket.inet_pton(socket.AF_INET, client)
         except (OSError, ValueError):
             return self._home_region, client.encode('utf-8', 'replace')
-        start, region = self._sites.locate(int.from_bytes(packed, 'big'))
-        if region is None:
-            return self._home_region, packed
-        return region, start.to_bytes(len(packed), 'big')
+        # The point is that of the address: a region may be one block.
+        region = self._sites.region_of(int.from_bytes(packed, 'big'))
+        return region or self._home_region, packed
 
     def _zones_of(self, destination: str) -> tuple[str, ...]:
         zones = self._zones.get(destination)
--- a/packages/daemon/src/geraniumshelf_daemon/lookups/sites.py
+++ b/packages/daemon/src/geraniumshelf_daemon/lookups/sites.py
@@ -26,10 +26,10 @@
     table: BlockTable
     regions: tuple[str, ...]
 
-    def locate(self, address: int) -> tuple[int, str | None]:
-        """Return the start and the region of the block of an address."""
-        start, site = self.table.find(address)
-        return start, None if site == NO_SITE else self.regions[site]
+    def region_of(self, address: int) -> str | None:
+        """Return the region of an address, ``None`` outside all blocks."""
+        _, site = self.table.find(address)
+        return None if site == NO_SITE else self.regions[site]
 
 
 def build_sites(blocks: tuple[ClientBlock, ...]) -> ClientSites:
--- a/packages/daemon/src/geraniumshelf_daemon/steering/demand.py
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/demand.py
@@ -45,7 +45,10 @@
         for name, count in tuple(self._counts.items()):
             count.advance(now)
             latest = count.busy * MICRO_TOKENS // elapsed
-            count.mean += (latest - count.mean) // _SMOOTHING
+            # A rise counts at once: plans must not send more traffic to a
+            # region than it has room for.
+            fall = max(0, count.mean - latest)
+            count.mean = latest + fall // _SMOOTHING
             count.busy = 0
             if count.mean <= 0 and not count.in_flight:
                 self._counts.pop(name)
--- a/tests/daemon/lookups/test_service.py
+++ b/tests/daemon/lookups/test_service.py
@@ -143,3 +143,14 @@
     assert service.region_of('10.9.1.1') == 'b'
     assert service.region_of('10.8.1.1') == 'a'
     assert service.region_of('192.0.2.1') == 'home'
+
+
+def test_clients_of_one_block_are_split(service, sources) -> None:
+    """A region with a single block must not move as a whole."""
+    sources.current = _plan(a=500_000, b=500_000)
+    sources.version += 1
+    firsts = [
+        _addresses(service, f'10.1.{number}.{number % 7}')[0][0]
+        for number in range(200)
+    ]
+    assert 70 <= firsts.count('a') <= 130
--- a/tests/daemon/steering/test_collector.py
+++ b/tests/daemon/steering/test_collector.py
@@ -149,6 +149,21 @@
     assert latest == ()
 
 
+def test_new_traffic_is_counted_with_the_first_report() -> None:
+    """A drain right after traffic began must not count on empty regions."""
+    meter = DemandMeter()
+    now = 10 * SECOND_NS
+    meter.take(now)
+    for _ in range(4):
+        meter.enter('s', 'a', now)
+    ((_, _, mean),) = meter.take(now + 5 * SECOND_NS)
+    assert mean == 4_000_000
+    for _ in range(4):
+        meter.enter('s', 'a', now + 5 * SECOND_NS)
+    ((_, _, mean),) = meter.take(now + 10 * SECOND_NS)
+    assert mean == 8_000_000
+
+
 def test_fetch_reuses_connections_and_survives_faults() -> None:
     """A new connection per poll would cost a millisecond each."""
     assert asyncio.run(_fetch_all()) == [
