Keep the topology between changes and wait before a platform probe

A daemon that stepped back from watching probed the platform at once while the machine had been up for less than an hour, so watchers changed all the time; a test of the wait failed before. A fleet that outgrows the full mesh sends its entries at once.

--- a/packages/core/src/geraniumshelf_core/membership/queries.py
+++ b/packages/core/src/geraniumshelf_core/membership/queries.py
@@ -89,15 +89,16 @@
     if state.zones_key != key:
         state.zones_key = key
         state.zones = _collect_zones(state, now)
+        state.links = None
+        state.order = None
     return state.zones
 
 
 def link_targets(state: MembershipState, now: Nanoseconds) -> dict[str, str]:
     """Return the peer addresses of the instances to link to, by name."""
-    zones = known_zones(state, now)
     return {
         name: address
-        for name in linked_instances(state.own.instance, zones)
+        for name in _links(state, now)
         if (address := peer_address(state, name)) is not None
     }
 
@@ -109,13 +110,12 @@
     all while the own links come up after the start; otherwise each daemon of
     a starting zone would call the platform as a watcher.
     """
-    zones = known_zones(state, now)
-    targets = linked_instances(state.own.instance, zones)
+    targets = _links(state, now)
     if _is_starting(state, now):
         targets = frozenset(state.heard)
     candidates = [
         name
-        for name in zone_order(state.own.zone, zones)
+        for name in _order(state, now)
         if _may_watch(state, name, name in targets, now)
     ]
     candidates.sort(key=lambda name: is_blind(state, name))
@@ -124,9 +124,7 @@
 
 def blind_members(state: MembershipState, now: Nanoseconds) -> tuple[str, ...]:
     """Return the daemons of the own zone that do not reach the platform."""
-    zones = known_zones(state, now)
-    order = zone_order(state.own.zone, zones)
-    return tuple(name for name in order if is_blind(state, name))
+    return tuple(name for name in _order(state, now) if is_blind(state, name))
 
 
 def is_blind(state: MembershipState, name: str) -> bool:
@@ -268,6 +266,20 @@
     )
 
 
+def _links(state: MembershipState, now: Nanoseconds) -> frozenset[str]:
+    zones = known_zones(state, now)
+    if state.links is None:
+        state.links = linked_instances(state.own.instance, zones)
+    return state.links
+
+
+def _order(state: MembershipState, now: Nanoseconds) -> tuple[str, ...]:
+    zones = known_zones(state, now)
+    if state.order is None:
+        state.order = zone_order(state.own.zone, zones)
+    return state.order
+
+
 def _live_names(state: MembershipState, now: Nanoseconds) -> frozenset[str]:
     return frozenset(
         name for name, peer in state.heard.items() if _is_live(peer, now)
--- a/packages/core/src/geraniumshelf_core/membership/spreading.py
+++ b/packages/core/src/geraniumshelf_core/membership/spreading.py
@@ -119,9 +119,8 @@
         return
     state.status.is_blind = True
     is_repeated = now - state.probe_at < _RESET
-    state.probe_wait = (
-        min(2 * state.probe_wait, _LONGEST_PROBE) if is_repeated else PROBE_WAIT
-    )
+    former = state.probe_wait if is_repeated else 0
+    state.probe_wait = min(max(2 * former, PROBE_WAIT), _LONGEST_PROBE)
     state.probe_at = now + state.probe_wait
 
 
--- a/packages/core/src/geraniumshelf_core/membership/state.py
+++ b/packages/core/src/geraniumshelf_core/membership/state.py
@@ -111,6 +111,8 @@
         probe_wait: Time before the last such try.
         zones: Zone of each instance, kept by the query for it.
         zones_key: What that was made from.
+        links: Instances to link to by these zones, once they were asked for.
+        order: Instances of the own zone in rank order, in the same way.
     """
 
     own: Hello
@@ -129,3 +131,5 @@
     probe_wait: Nanoseconds = 0
     zones: dict[str, str] = Factory(dict)
     zones_key: tuple[object, ...] = ()
+    links: frozenset[str] | None = None
+    order: tuple[str, ...] | None = None
--- a/packages/daemon/src/geraniumshelf_daemon/membership/service.py
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/service.py
@@ -8,7 +8,6 @@
 from geraniumshelf_core.membership import commands, queries, spreading
 from geraniumshelf_core.membership.state import SILENCE_LIMIT, ListedMember
 from geraniumshelf_core.messages.membership import Heartbeat, Hello
-from geraniumshelf_core.roster.commands import forget_withdrawn
 from geraniumshelf_core.units import Nanoseconds, seconds_to_ns
 from geraniumshelf_daemon.clock import current_time
 from geraniumshelf_daemon.membership.lists import ListExchange
@@ -88,7 +87,6 @@
             if now >= self._judged_from:
                 spreading.withdraw_lost(self._state, now)
             commands.forget_silent(self._state, self._links.connected(), now)
-            forget_withdrawn(self._state.roster, now)
             spreading.check_watching(self._state, now)
             self._members.refresh_own(now)
             self._spread.flush()
--- a/packages/daemon/src/geraniumshelf_daemon/membership/spread.py
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/spread.py
@@ -15,7 +15,11 @@
     MemberRows,
 )
 from geraniumshelf_core.roster import queries as roster_queries
-from geraniumshelf_core.roster.commands import take_changes, take_rows
+from geraniumshelf_core.roster.commands import (
+    forget_withdrawn,
+    take_changes,
+    take_rows,
+)
 from geraniumshelf_core.roster.state import Roster
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
 from geraniumshelf_daemon.clock import current_time
@@ -45,6 +49,7 @@
         self._differences: dict[str, int] = {}
         self._wanted: asyncio.Queue[str] = asyncio.Queue()
         self._was_blind = False
+        self._was_mesh = True
         links.subscribe(self._on_link)
         links.register(MemberRows, self._on_rows)
         links.register(MemberDigest, self._on_digest)
@@ -54,6 +59,7 @@
         """Send the digest to linked peers, for ever."""
         while True:
             await asyncio.sleep(DIGEST_INTERVAL_S)
+            forget_withdrawn(self._state.roster, current_time())
             if not self._is_mesh():
                 self._send_digest()
 
@@ -68,10 +74,15 @@
     def flush(self) -> None:
         """Send all changes to the linked peers that do not have them."""
         changes = take_changes(self._state.roster)
+        is_mesh = self._is_mesh()
+        if is_mesh:
+            changes = self._blind_change()
+        elif self._was_mesh:
+            # The fleet has grown; nobody got this entry so far.
+            changes.setdefault(self._state.own.instance, '')
+        self._was_mesh = is_mesh
         if not changes:
             return
-        if self._is_mesh():
-            changes = self._blind_change()
         for peer in self._links.connected():
             names = [name for name in changes if changes[name] != peer]
             self._send(peer, names)
--- a/tests/core/roster/test_roster.py
+++ b/tests/core/roster/test_roster.py
@@ -150,7 +150,7 @@
     for state in states.values():
         state.listed = {n: ListedMember(n, 'z', n, False) for n in names}
     watched = set()
-    for second in range(30):
+    for second in range(15):
         now = second * SECOND_NS
         for name, state in states.items():
             for other in queries.link_targets(state, now):
@@ -164,9 +164,14 @@
     assert len(watched) == min(count, 6)
     blind = [n for n in names if states[n].status.is_blind]
     assert len(blind) == min(count, 4)
-    assert sum(spreading.is_probe_due(s, now) for s in states.values()) == 2
+    due = [spreading.is_probe_due(s, s.probe_at) for s in states.values()]
+    assert sum(due) == 2
+    assert not any(spreading.is_probe_due(s, now) for s in states.values())
     for name in blind:
-        spreading.note_platform(states[name], now)
+        # An answer that was on its way must not bring a watcher back at once.
+        spreading.note_platform(states[name], states[name].probe_at - 1)
+        assert states[name].status.is_blind
+        spreading.note_platform(states[name], states[name].probe_at)
         assert not states[name].status.is_blind
 
 
