Keep only events, codes and metrics that happen

Six listed names were never sent: two result codes, three events and a metric. Five go with their rows; 404 SLOT_EXPIRED is now logged when a claim could not be renewed for the hold time. The new test failed with the six names and passes.

--- a/packages/daemon/src/geraniumshelf_daemon/front/refusal.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/refusal.py
@@ -28,8 +28,6 @@
     ResultCode.NOT_READY: 503,
     ResultCode.CUT_OFF: 503,
     ResultCode.HEADERS_TOO_LARGE: 431,
-    ResultCode.LINK_FULL: 503,
-    ResultCode.LEAVING: 503,
     ResultCode.MALFORMED_REQUEST_ID: 400,
     ResultCode.METHOD_NOT_ALLOWED: 405,
     ResultCode.CALLER_SILENT: 408,
--- a/packages/daemon/src/geraniumshelf_daemon/observability/events.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/events.py
@@ -24,7 +24,6 @@
 
     # Configuration and platform.
     REVISION_IN_FORCE = 201
-    REVISION_IGNORED = 202
     CONFIGURATION_REFUSED = 203
     PLATFORM_LOST = 204
     PLATFORM_FOUND = 205
@@ -53,7 +52,6 @@
 
     # Backend servers.
     BACKEND_EJECTED = 601
-    BACKEND_RESTORED = 602
     CONNECTION_SILENT = 603
 
     # Steering.
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -35,5 +35,4 @@
     PLAN_REVISION = 'plan_revision'
     PLAN_PROPOSALS = 'plan_proposals'
     PLAN_CONFLICTS = 'plan_conflicts'
-    PLAN_MOVED = 'plan_moved_ppm'
     LOAD_POLLS_FAILED = 'load_polls_failed'
--- a/packages/daemon/src/geraniumshelf_daemon/slots/claims.py
+++ b/packages/daemon/src/geraniumshelf_daemon/slots/claims.py
@@ -67,6 +67,7 @@
     _held: _Held | None = field(default=None, init=False)
     _is_released: bool = field(default=False, init=False)
     _search: SlotSearch = field(init=False)
+    _expired_claim: Nanoseconds | None = field(default=None, init=False)
     _survey: ClaimSurvey = field(init=False)
     _publication: LayoutPublication = field(init=False)
 
@@ -119,6 +120,7 @@
                 await self.step()
             except PlatformError as error:
                 log_event(Event.PLATFORM_LOST, str(error))
+            self._note_expiry()
             period = _CHECK_PERIOD
             if self._is_pending():
                 period = round(retry * uniform(1 / 2, 1))
@@ -164,6 +166,15 @@
             await self._platform.delete(object_name(held.slot), held.version)
             log_event(Event.SLOT_RELEASED, held.slot)
 
+    def _note_expiry(self) -> None:
+        held = self._held
+        if held is None or held.claimed_at == self._expired_claim:
+            return
+        hold_time = _hold_time(self._source.configuration)
+        if not may_renew(held.renewed_at, hold_time, self._clock()):
+            self._expired_claim = held.claimed_at
+            log_event(Event.SLOT_EXPIRED, held.slot)
+
     def _is_pending(self) -> bool:
         """Tell whether a claim or a listing is still to be made."""
         if self._source.configuration is None:
--- a/tests/daemon/observability/test_catalogues.py
+++ b/tests/daemon/observability/test_catalogues.py
@@ -54,3 +54,19 @@
     listed = {int(row[0]): row[2] for row in _rows('errors.md')}
     sent = {code.value: str(status) for code, status in STATUSES.items()}
     assert {number: listed[number] for number in sent} == sent
+
+
+def test_every_listed_name_is_in_use() -> None:
+    """A row for something that never happens misleads operators."""
+    catalogues = {'errors.py', 'refusal.py', 'events.py', 'metric_names.py'}
+    sources = '\n'.join(
+        path.read_text(encoding='utf-8')
+        for path in (_DOCS.parent / 'packages').rglob('*.py')
+        if path.name not in catalogues
+    )
+    names = [
+        *(f'ResultCode.{code.name}' for code in ResultCode),
+        *(f'Event.{event.name}' for event in Event),
+        *(f'Metric.{metric.name}' for metric in Metric),
+    ]
+    assert [name for name in names if name not in sources] == []
