Leave a backend server that shed a request alone for a moment

Cause: two daemons of a zone may together send a server more than its slots between two load reports; the request that was shed was sent again at once, three times within a millisecond, and then refused (39 of 1,543 reads in a drain, seen with real daemons). Ruled out: the retry budget, which was not spent. Change: a server that sheds is taken to be full for 50 ms, in which the request waits in the fair queue. The new test failed with 503 BACKEND_REFUSED and passes.

--- a/packages/core/src/geraniumshelf_core/dispatch/commands.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/commands.py
@@ -10,6 +10,7 @@
     EJECTED_FRACTION,
     EJECTION_NS,
     FAILURES_TO_EJECT,
+    FULL_NS,
     DispatchState,
     RetryBudget,
     ServerState,
@@ -117,6 +118,11 @@
         server.is_withdrawn = is_withdrawn
 
 
+def note_full(server: ServerState, now: Nanoseconds) -> None:
+    """Leave a server that shed a request alone for a moment."""
+    server.full_until = now + FULL_NS
+
+
 def earn_retries(budget: RetryBudget) -> None:
     """Count a request; ten of them allow one retry."""
     budget.tokens = min(_RETRY_CEILING, budget.tokens + _RETRY_GAIN)
--- a/packages/core/src/geraniumshelf_core/dispatch/queries.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/queries.py
@@ -58,6 +58,7 @@
         for name in names
         if name not in wish.excluded
         and is_available(server := state.servers[name], now)
+        and server.full_until <= now
         and server.in_flight < in_flight_limit(server, slot_limit, now)
     ]
     for near in _by_preference(state, candidates, wish.failover, now):
--- a/packages/core/src/geraniumshelf_core/dispatch/state.py
+++ b/packages/core/src/geraniumshelf_core/dispatch/state.py
@@ -3,7 +3,7 @@
 from attrs import define, field, frozen
 
 from geraniumshelf_core.configuration.model import BackendServer
-from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 
 SLOW_START_NS: Nanoseconds = 10 * SECOND_NS
 EJECTION_NS: Nanoseconds = 10 * SECOND_NS
@@ -12,6 +12,10 @@
 AVOIDANCE_NS: Nanoseconds = SECOND_NS
 # One failure is common when a connection is reset; three in a row are not.
 FAILURES_TO_EJECT = 3
+# A server that sheds a request is full with requests of other daemons; asking
+# again at once would spend all attempts within a millisecond.
+FULL_MS = 50
+FULL_NS: Nanoseconds = FULL_MS * MILLISECOND_NS
 EJECTED_FRACTION = 3
 
 
@@ -38,6 +42,8 @@
         is_withdrawn: Whether the drain of its zone is complete and other
             zones of the region offer the service.
         failures: Failures in a row.
+        full_until: End of the time in which it is taken to be full because
+            it shed a request, 0 for none.
         avoided_until: Time until which other servers are preferred, because
             it has just failed or shed a request; unlike an ejection this
             needs no bound, as it is still used when others have no slot.
@@ -53,6 +59,7 @@
     ejected_until: Nanoseconds = 0
     is_withdrawn: bool = False
     failures: int = 0
+    full_until: Nanoseconds = 0
     avoided_until: Nanoseconds = 0
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/dispatcher.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/dispatcher.py
@@ -13,6 +13,7 @@
     begin_request,
     earn_retries,
     end_request,
+    note_full,
     replace_servers,
     spend_retry,
 )
@@ -50,8 +51,8 @@
 
 _QUEUE_LIMIT: Final = 256
 # Slots also come free without an end of a request: after an ejection or
-# during a slow start.
-_RECHECK_S: Final = 0.2
+# during a slow start, or when a server that was full is asked again.
+_RECHECK_S: Final = 0.06
 
 
 @frozen
@@ -136,6 +137,8 @@
         now = self._clock()
         if is_failure or is_shed:
             avoid_server(server, now)
+        if is_shed:
+            note_full(server, now)
         if end_request(self._state, server, is_failure, now):
             log_event(Event.BACKEND_EJECTED, server.server.name)
         queue = self._queues[server.server.service]
--- a/tests/daemon/front/test_failures.py
+++ b/tests/daemon/front/test_failures.py
@@ -167,6 +167,22 @@
     run(scenario)
 
 
+def test_shed_request_waits_for_a_slot() -> None:
+    """A server that other daemons fill is busy, which is no refusal yet."""
+
+    async def scenario() -> None:
+        async with world(slots=1) as w:
+            backend = w.servers[0].backend
+            backend.in_flight = 1
+            asking = asyncio.ensure_future(w.ask())
+            await until(lambda: w.records)
+            await asyncio.sleep(0.02)
+            backend.in_flight -= 1
+            assert (await asking).status == 200
+
+    run(scenario)
+
+
 def test_leaving_caller_cancels_its_work() -> None:
     """Abandoned work would hold slots that others need."""
 
