--- a/packages/core/src/geraniumshelf_core/membership/commands.py
+++ b/packages/core/src/geraniumshelf_core/membership/commands.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Iterable
 
-from geraniumshelf_core.membership.queries import contact_age_ms
+from geraniumshelf_core.membership.contact import contact_age_ms
 from geraniumshelf_core.membership.state import (
     SILENCE_LIMIT,
     HeardPeer,
--- a/packages/daemon/src/geraniumshelf_daemon/membership/members.py
+++ b/packages/daemon/src/geraniumshelf_daemon/membership/members.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from geraniumshelf_core.idempotency.request_id import WINDOW_NS
-from geraniumshelf_core.membership import commands, queries, spreading
+from geraniumshelf_core.membership import commands, contact, queries, spreading
 from geraniumshelf_core.membership.state import (
     Member,
     MembershipState,
@@ -110,7 +110,7 @@
 
     def is_cut_off(self, now: Nanoseconds) -> bool:
         """Tell whether no withdrawal can reach the zone."""
-        return queries.is_cut_off(self.state, now)
+        return contact.is_cut_off(self.state, now)
 
     def is_watcher(self, now: Nanoseconds) -> bool:
         """Tell whether this daemon watches the platform for its zone."""
@@ -118,7 +118,7 @@
         return self.state.own.instance in watchers
 
     def _relay_contact(self, now: Nanoseconds) -> None:
-        if queries.is_contact_news(self.state, now):
+        if contact.is_contact_news(self.state, now):
             for relay in self._relays:
                 relay()
 
--- a/tests/core/membership/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -5,6 +5,10 @@
 
 from geraniumshelf_core.codec import Frame, encode_frame
 from geraniumshelf_core.membership import commands, queries
+from geraniumshelf_core.membership.contact import (
+    is_contact_news,
+    is_cut_off,
+)
 from geraniumshelf_core.membership.state import ListedMember, MembershipState
 from geraniumshelf_core.messages.membership import Heartbeat, Hello, MemberList
 from geraniumshelf_core.units import SECOND_NS
@@ -89,7 +93,7 @@
         latest = contact if latest is None else max(latest, contact)
     now += end_ms * 1_000_000
     expected = latest is None or now - latest > 3 * SECOND_NS
-    assert queries.is_cut_off(state, now) == expected
+    assert is_cut_off(state, now) == expected
 
 
 @given(st.integers(1, 60), st.integers(0, 2))
@@ -125,7 +129,7 @@
     for step_ms in steps_ms:
         now += step_ms * 1_000_000
         commands.note_contact(state, now)
-        if queries.is_contact_news(state, now):
+        if is_contact_news(state, now):
             beats += 1
             commands.next_heartbeat(state, 0, now)
         elif count > 16:
