--- a/tests/daemon/front/harness.py
+++ b/tests/daemon/front/harness.py
@@ -289,3 +289,7 @@
 
 def run(scenario: Callable[[], object]) -> None:
     asyncio.run(asyncio.wait_for(scenario(), 3 * BOUND_S))
+
+
+def outcomes(w) -> list[str]:
+    return sorted(record.outcome for record in w.records)
