Keep start-up objects out of the garbage collector's way

Cause: single requests took 28 to 40 ms where the median took 4: full collections visited all modules and constants. Ruled out: tokens (open routes were hit as well) and the network (loopback). Change: objects of the start are frozen.

--- a/packages/daemon/src/geraniumshelf_daemon/main.py
+++ b/packages/daemon/src/geraniumshelf_daemon/main.py
@@ -1,6 +1,7 @@
 """The command line of the daemon."""
 
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -49,5 +50,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.begin_stop)
     await daemon.start()
+    # Modules and their constants live as long as the daemon; a collector that
+    # visits them stops requests for some 30 ms each time.
+    gc.collect()
+    gc.freeze()
     await daemon.wait_stop()
     await daemon.stop()
