--- a/tests/daemon/allowances/test_refusals.py
+++ b/tests/daemon/allowances/test_refusals.py
@@ -4,7 +4,7 @@
 from statistics import median
 
 from tests.daemon.allowances.test_service import RATE, run_fleet
-from tools.allowance_trial import Fleet
+from tools.trial.allowance_fleet import Fleet
 
 from geraniumshelf_core.errors import RequestRefused
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS
--- a/tests/daemon/allowances/test_service.py
+++ b/tests/daemon/allowances/test_service.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import pytest
-from tools.allowance_trial import Fleet, configuration
+from tools.trial.allowance_fleet import Fleet, configuration
 
 from geraniumshelf_core.configuration.model import (
     ClientAccount,
