--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,5 +1,6 @@
-"""Run the Association's deployment under load on this machine."""
+"""Run an example deployment under load on this machine."""
 
+import argparse
 import asyncio
 import json
 import signal
@@ -10,6 +11,9 @@
 from random import Random
 from time import monotonic
 
+from attrs import frozen
+
+from geraniumshelf_core.configuration.model import Configuration
 from geraniumshelf_standins.caller.client import Caller, Job, Outcome
 from geraniumshelf_standins.caller.workload import (
     Stream,
@@ -19,32 +23,82 @@
 from geraniumshelf_standins.fleet.deployment import place_deployment
 from geraniumshelf_standins.fleet.fleet import Fleet, fetch_json
 
-EXAMPLE = Path(__file__).parent.parent / 'examples' / 'association'
-EXAMPLE_NETWORK = 20
-DEMO_NETWORK = 22
+EXAMPLES = Path(__file__).parent.parent / 'examples'
 LOAD_S = 30.0
 UPLOAD_BYTES = 20_000_000
 UPLOAD_BYTES_PER_S = 1_000_000
 WITHDRAWN_LABEL = 'demo-guest'
-DRAINED = 'gondar-a-0'
+DRAINED_PLACE = 3
+
+
+@frozen
+class Example:
+    """An example deployment.
+
+    Attributes:
+        name: Folder below ``examples``.
+        network: Second number of the loopback addresses in its files.
+        clients: First two numbers of its client blocks.
+    """
+
+    name: str
+    network: int
+    clients: str
+
+    @property
+    def own_network(self) -> int:
+        """Return the network of the demo's own addresses."""
+        return self.network + 2
+
+
+ASSOCIATION = Example('association', 20, '127.40')
+SHRESTHA = Example('shrestha', 30, '127.50')
+
 
+@frozen
+class Services:
+    """Services of a deployment by what the demo does with them."""
 
-async def run_demo(folder: Path) -> bool:
+    read: str
+    sale: str
+    upload: str
+    calendar: str
+
+
+async def run_demo(folder: Path, example: Example = ASSOCIATION) -> bool:
     """Run the whole demo; returns whether every condition held."""
     started = monotonic()
     fleet = Fleet(
-        place_deployment(EXAMPLE, EXAMPLE_NETWORK, folder, DEMO_NETWORK),
+        place_deployment(
+            EXAMPLES / example.name,
+            example.network,
+            folder,
+            example.own_network,
+        ),
         folder / 'logs',
     )
     try:
         await fleet.start()
         report(started, f'{len(fleet.daemons)} daemons are ready')
-        return await run_load(fleet, started)
+        return await run_load(fleet, example, started)
     finally:
         await fleet.end()
 
 
-async def run_load(fleet: Fleet, started: float) -> bool:
+def find_services(configuration: Configuration) -> Services:
+    """Return the services by the first route of each."""
+    routes = {one.name: one.routes[0] for one in configuration.services}
+    return Services(
+        next(
+            n for n, r in routes.items() if 'GET' in r.methods and not r.is_open
+        ),
+        next(n for n, r in routes.items() if not r.is_idempotent),
+        next(n for n, r in routes.items() if 'PUT' in r.methods),
+        next(n for n, r in routes.items() if r.may_wait),
+    )
+
+
+async def run_load(fleet: Fleet, example: Example, started: float) -> bool:
     """Send reads, sales and an upload while a key and a daemon go."""
     accounts = sorted(
         fleet.deployment.configuration.accounts,
@@ -54,6 +108,7 @@
         'key', 'add', accounts[0].name, WITHDRAWN_LABEL, '--json'
     )
     guest_key = json.loads(added)['key']
+    services = find_services(fleet.deployment.configuration)
     random = Random(1)
     lookups = [place.caller_address for place in fleet.places.values()]
     callers = [
@@ -61,7 +116,7 @@
             f'trial-{client.name}',
             lookups[index:] + lookups[:index],
             Random(index),
-            client_address=f'127.40.{1 + index % 3}.7',
+            client_address=f'{example.clients}.{1 + index % 3}.7',
         )
         for index, client in enumerate(accounts)
     ]
@@ -69,25 +124,25 @@
     workload = Workload(
         [
             *(
-                Stream('read', caller, Job('stock-desk', path='/prices'), 8)
+                Stream('read', caller, Job(services.read, path='/prices'), 8)
                 for caller in callers[:4]
             ),
             *(
                 Stream(
                     'sale',
                     caller,
-                    Job('sale-book', 'POST', '/sales', b'{"candles": 3}'),
+                    Job(services.sale, 'POST', '/sales', b'{"candles": 3}'),
                     2,
                 )
                 for caller in callers[:4]
             ),
-            Stream('calendar', callers[0], Job('tazkar-cal'), 2),
-            Stream('guest', guest, Job('stock-desk', path='/prices'), 5),
+            Stream('calendar', callers[0], Job(services.calendar), 2),
+            Stream('guest', guest, Job(services.read, path='/prices'), 5),
         ],
         random,
     )
     upload = Job(
-        'ledger-box',
+        services.upload,
         'PUT',
         '/photos/1',
         random.randbytes(UPLOAD_BYTES),
@@ -113,11 +168,12 @@
 async def drain_daemon(fleet: Fleet, started: float) -> int:
     """Stop a daemon gracefully in the middle of the load."""
     await asyncio.sleep(LOAD_S / 2)
-    daemon = fleet.daemons[DRAINED]
+    name = list(fleet.places)[DRAINED_PLACE]
+    daemon = fleet.daemons[name]
     daemon.send(signal.SIGTERM)
-    report(started, f'{DRAINED} is told to stop')
+    report(started, f'{name} is told to stop')
     status = await daemon.wait(60)
-    report(started, f'{DRAINED} ended with status {status}')
+    report(started, f'{name} ended with status {status}')
     return status
 
 
@@ -178,8 +234,14 @@
 
 def main() -> int:
     """Run the demo; returns the exit status."""
+    examples = {one.name: one for one in (ASSOCIATION, SHRESTHA)}
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        'example', nargs='?', choices=examples, default=ASSOCIATION.name
+    )
+    chosen = examples[parser.parse_args().example]
     with tempfile.TemporaryDirectory() as folder:
-        return 0 if asyncio.run(run_demo(Path(folder))) else 1
+        return 0 if asyncio.run(run_demo(Path(folder), chosen)) else 1
 
 
 if __name__ == '__main__':
