Send the metrics of steering

Cause: the load collector and the plan proposer take a Metrics object, and the daemon built them without one, so load polls that failed, proposals, conflicts and plan revisions were never sent; platform calls were counted by the proposer as well as by the adapter. Found by reading. Change: they get the daemon's metrics, and only the adapter counts platform calls. Run: formatter, linter, mypy, and the tests of steering, membership, replication, wiring, observability and the callers' example with real daemons; the whole suite was not run on this commit.

--- a/packages/daemon/src/geraniumshelf_daemon/application.py
+++ b/packages/daemon/src/geraniumshelf_daemon/application.py
@@ -60,7 +60,7 @@
         install_metrics(self._metrics)
         self._control = build_control(settings, hello, clock)
         self._limits = Limits(self._control)
-        self._steering = Steering(self._control)
+        self._steering = Steering(self._control, self._metrics)
         self._data_path = wire_data_path(
             self._control, self._limits, self._steering
         )
--- a/packages/daemon/src/geraniumshelf_daemon/steering/proposer.py
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/proposer.py
@@ -71,7 +71,6 @@
         try:
             await self._failures.refresh(configuration, now)
         except PlatformError:
-            self.metrics.count(Metric.PLATFORM_FAILURES)
             return
         for service in configuration.services:
             try:
@@ -145,14 +144,11 @@
     def _count_failure(self, error: PlatformError) -> None:
         if error.code is ResultCode.VERSION_CONFLICT:
             self.metrics.count(Metric.PLAN_CONFLICTS)
-        else:
-            self.metrics.count(Metric.PLATFORM_FAILURES)
 
     async def _write(self, plan: Plan, expected_version: int) -> None:
         name = plan_name(plan.service)
         encoded = encode_plan(plan)
         self._unsettled[plan.service] = plan.proposal_id
-        self.metrics.count(Metric.PLATFORM_CALLS)
         try:
             version = await self.exchange.platform.put(
                 name, encoded, expected_version
@@ -165,7 +161,6 @@
         self._settle(plan.service, StoredObject(name, version, encoded))
 
     async def _read(self, service: str) -> None:
-        self.metrics.count(Metric.PLATFORM_CALLS)
         try:
             stored = await self.exchange.platform.get(plan_name(service))
         except PlatformError as error:
--- a/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
+++ b/packages/daemon/src/geraniumshelf_daemon/wiring/steering.py
@@ -5,6 +5,7 @@
 from geraniumshelf_core.configuration.model import Configuration
 from geraniumshelf_daemon.clock import current_time
 from geraniumshelf_daemon.lookups.service import LookupService
+from geraniumshelf_daemon.observability.metrics import Metrics
 from geraniumshelf_daemon.steering.applied import AppliedPlans
 from geraniumshelf_daemon.steering.collector import LoadCollector
 from geraniumshelf_daemon.steering.exchange import PlanExchange
@@ -18,7 +19,7 @@
 class Steering:
     """Collects loads, follows plans, proposes steps, answers look-ups."""
 
-    def __init__(self, control: ControlPlane) -> None:
+    def __init__(self, control: ControlPlane, metrics: Metrics) -> None:
         hello = control.hello
         self._fetcher = LoadFetcher()
         self._plans = PlanService()
@@ -32,6 +33,7 @@
             control.members,
             self._fetcher.fetch,
             current_time,
+            metrics=metrics,
         )
         self._exchange = PlanExchange(
             self._plans,
@@ -45,6 +47,7 @@
             self._exchange,
             self._collector.book,
             control.entries,
+            metrics,
         )
         self._applied = AppliedPlans(self._plans, control.holder, current_time)
         self._lookups = LookupService(
