Know which objects are warm, share slots by region, lend quotas

Change: expected work depends on whether the server has handled the object, objects leave a region from the start in proportion to its missing slots, and daemons lend shares for terms of 1.5 s.

--- a/packages/core/src/geraniumshelf_core/admission/verdict.py
+++ b/packages/core/src/geraniumshelf_core/admission/verdict.py
@@ -12,9 +12,9 @@
 from geraniumshelf_core.placement.state import Choice
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 
-# Part of the time left that the expected answer may use; the rest covers the
-# spread of the work.
-_USABLE_PART: Final = 0.7
+# Part of the time left that a request may use that has to wait for a slot; the
+# rest covers the spread of the work.
+_USABLE_PART: Final = 0.8
 _SHORTEST_RETURN_NS: Final[Nanoseconds] = 200 * MILLISECOND_NS
 _LONGEST_RETURN_NS: Final[Nanoseconds] = 3 * SECOND_NS
 
@@ -49,7 +49,7 @@
     """
     if choice is None:
         return Rejected(_return_time(SECOND_NS, spread))
-    if choice.total > _USABLE_PART * time_left:
+    if choice.wait and choice.total > _USABLE_PART * time_left:
         return Rejected(_return_time(choice.wait, spread))
     return Admitted(choice)
 
--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -5,7 +5,11 @@
 
 from attrs import frozen
 
-from geraniumshelf_core.placement.queries import estimated_load, is_cold
+from geraniumshelf_core.placement.queries import (
+    estimated_load,
+    is_cold,
+    usual_work,
+)
 from geraniumshelf_core.placement.state import (
     PlacementState,
     ServerView,
@@ -15,8 +19,11 @@
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 
 # Weight of a new answer in the smoothed times.
-_WORK_GAIN: Final = 0.2
-_TYPICAL_GAIN: Final = 0.02
+_SLOWNESS_GAIN: Final = 0.2
+_USUAL_GAIN: Final = 0.02
+# Objects that are taken to be warm on a server; the smallest servers of the
+# deployments keep about as many.
+_MOST_WARM: Final = 24
 # About five failures in eight requests eject a server that hardly ever failed.
 _FAILURE_GAIN: Final = 0.15
 _EJECTING_SHARE: Final = 0.4
@@ -32,7 +39,8 @@
 # Above the first load per slot objects move out, below the second they return.
 _SPILL_ABOVE: Final = 0.75
 _RETURN_BELOW: Final = 0.55
-_LEAST_SPILL: Final = 0.005
+# Slots of a region that has no more than its part, when another is full.
+_LEAST_SPARE: Final = 0.01
 
 
 @frozen
@@ -45,12 +53,14 @@
         is_unreachable: Whether no connection could be opened, or another
             server has the address.
         work: Time until the answer; 0 if there was none.
+        object_name: Object that the request concerned.
     """
 
     is_failure: bool = False
     is_unreachable: bool = False
     is_shed: bool = False
     work: Nanoseconds = 0
+    object_name: str = ''
 
 
 def put_server(
@@ -115,10 +125,14 @@
             group.append(name)
     state.usable = {key: tuple(names) for key, names in usable.items()}
     state.ranks.clear()
+    _plan_spills(state)
 
 
-def begin_request(view: ServerView, now: Nanoseconds) -> None:
+def begin_request(
+    state: PlacementState, view: ServerView, now: Nanoseconds
+) -> None:
     """Count a request that is sent to a server."""
+    state.is_started = True
     view.in_flight += 1
     if is_cold(view, now):
         sends = view.cold_sends
@@ -138,7 +152,7 @@
     if outcome.is_shed:
         view.full_until = now + _FULL_NS
     if outcome.work:
-        _record_work(state, view, outcome.work, now)
+        _record_work(state, view, outcome, now)
     sample = 1 if outcome.is_failure or outcome.is_shed else 0
     view.failure_share += _FAILURE_GAIN * (sample - view.failure_share)
     view.failures = view.failures + 1 if outcome.is_failure else 0
@@ -195,36 +209,75 @@
         now: Current time.
     """
     own = state.place.region
-    services = {service for service, _ in state.usable}
-    for service in services:
+    for service, spill in state.spills.items():
         pressure = _pressure(state, service, own, now)
-        spill = state.spills.setdefault(service, SpillState())
-        elsewhere = min(
-            (
-                _pressure(state, service, region, now)
-                for region in set(state.regions.values())
-                if region != own
-            ),
-            default=1,
-        )
-        if pressure > _SPILL_ABOVE and elsewhere < _SPILL_ABOVE:
-            spill.fraction = min(1, spill.fraction + step)
+        if pressure > _SPILL_ABOVE and _has_room(state, service, now):
+            wanted = 1.0
         elif pressure < _RETURN_BELOW:
-            spill.fraction = max(0, spill.fraction - step / 2)
-            if spill.fraction < _LEAST_SPILL:
-                spill.fraction = 0
-        spill.changed_at = now
+            wanted = spill.base
+        else:
+            wanted = max(spill.fraction, spill.base)
+        change = min(max(wanted - spill.fraction, -step / 2), step)
+        spill.fraction += change
+
+
+def _has_room(state: PlacementState, service: str, now: Nanoseconds) -> bool:
+    return any(
+        _pressure(state, service, region, now) < _SPILL_ABOVE
+        for region in set(state.regions.values())
+        if region != state.place.region
+    )
+
+
+def _plan_spills(state: PlacementState) -> None:
+    """Work out which part of each service's slots the own region lacks."""
+    regions = set(state.regions.values())
+    for service in {service for service, _ in state.usable}:
+        slots = {
+            region: sum(
+                state.servers[name].server.slots
+                for name in state.usable.get((service, region), ())
+            )
+            for region in regions
+        }
+        part = sum(slots.values()) / len(regions)
+        base = max(0, 1 - slots.get(state.place.region, 0) / part)
+        spill = state.spills.get(service)
+        if spill is None:
+            spill = SpillState()
+            state.spills[service] = spill
+        if not state.is_started:
+            spill.fraction = base
+        spill.base = base
+        spill.spare = {
+            region: max(_LEAST_SPARE, count - part)
+            for region, count in slots.items()
+        }
 
 
 def _record_work(
-    state: PlacementState, view: ServerView, work: Nanoseconds, now: Nanoseconds
+    state: PlacementState,
+    view: ServerView,
+    outcome: Outcome,
+    now: Nanoseconds,
 ) -> None:
     service = view.server.service
-    typical = state.typical.get(service, float(work))
-    state.typical[service] = typical + _TYPICAL_GAIN * (work - typical)
-    known = view.work or work
-    view.work = known + _WORK_GAIN * (work - known)
+    usual = state.usual.setdefault(service, usual_work(state, service))
+    is_warm = outcome.object_name in view.warm
+    if estimated_load(view, now) < view.server.slots:
+        expected = usual.warm if is_warm else usual.cold
+        gain = _USUAL_GAIN * (outcome.work - expected)
+        if is_warm:
+            usual.warm += gain
+        else:
+            usual.cold = max(usual.cold + gain, usual.warm)
+        sample = outcome.work / max(1, expected)
+        view.slowness += _SLOWNESS_GAIN * (sample - view.slowness)
     view.work_at = now
+    view.warm.pop(outcome.object_name, None)
+    view.warm[outcome.object_name] = None
+    if len(view.warm) > _MOST_WARM:
+        del view.warm[next(iter(view.warm))]
 
 
 def _pressure(
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -16,20 +16,21 @@
     Choice,
     PlacementState,
     ServerView,
+    SpillState,
+    UsualWork,
     Wish,
 )
 from geraniumshelf_core.site.routing import fraction_of
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 
-# Expected work of a service that has not answered yet.
-FIRST_WORK_NS: Final[Nanoseconds] = 200 * MILLISECOND_NS
+# Expected times of a service that has not answered yet.
+_FIRST_WARM_NS: Final[Nanoseconds] = 120 * MILLISECOND_NS
+_FIRST_COLD_NS: Final[Nanoseconds] = 400 * MILLISECOND_NS
 # One request and its answer between regions; the longest link of the
 # deployments takes 35 ms one way.
 _REGION_TRAVEL_NS: Final[Nanoseconds] = 70 * MILLISECOND_NS
 _ZONE_TRAVEL_NS: Final[Nanoseconds] = 10 * MILLISECOND_NS
-# A server this much slower than its service is passed over for its second.
-SLOW_RATIO: Final = 2.5
-# The measured time of a server counts half after this time without answers,
+# The slowness of a server counts half after this time without answers,
 # so that a server that was slow is tried again.
 _WORK_HALF_LIFE_NS: Final[Nanoseconds] = 2 * SECOND_NS
 _COLD_WINDOW_NS: Final[Nanoseconds] = SECOND_NS
@@ -54,17 +55,14 @@
 def region_order(state: PlacementState, wish: Wish) -> Iterator[str]:
     """Return the regions that may serve a request, the preferred one first."""
     own = state.place.region
-    others = ranked(
-        f'{wish.service}/{wish.object_name}',
-        (region for region in set(state.regions.values()) if region != own),
-    )
+    others = _other_regions(state)
+    order = (own, *others)
     spill = state.spills.get(wish.service)
-    is_spilled = (
-        spill is not None
-        and spill.fraction > 0
-        and fraction_of(f'{wish.object_name}/{wish.service}') < spill.fraction
-    )
-    order = (*others[:1], own, *others[1:]) if is_spilled else (own, *others)
+    if spill is not None and spill.fraction > 0:
+        point = fraction_of(f'{wish.object_name}/{wish.service}')
+        if point < spill.fraction:
+            first = _spill_region(spill, others, point / spill.fraction)
+            order = (first, own, *(one for one in others if one != first))
     for region in order:
         if wish.regions is None or region in wish.regions:
             yield region
@@ -78,15 +76,16 @@
     return view.in_flight + view.others * (1 - age / REPORT_LIFE_NS)
 
 
-def expected_work(
-    state: PlacementState, view: ServerView, now: Nanoseconds
-) -> float:
-    """Return the expected time of an answer without a queue, nanoseconds."""
-    typical = state.typical.get(view.server.service, FIRST_WORK_NS)
-    if not view.work:
-        return typical
+def usual_work(state: PlacementState, service: str) -> UsualWork:
+    """Return the usual times of a service's answers."""
+    known = state.usual.get(service)
+    return known or UsualWork(_FIRST_WARM_NS, _FIRST_COLD_NS)
+
+
+def slowness(view: ServerView, now: Nanoseconds) -> float:
+    """Return how many times the usual time a server takes."""
     halvings = min((now - view.work_at) / _WORK_HALF_LIFE_NS, 10)
-    return typical + (view.work - typical) * float(0.5**halvings)
+    return 1 + (view.slowness - 1) * float(0.5**halvings)
 
 
 def is_cold(view: ServerView, now: Nanoseconds) -> bool:
@@ -108,27 +107,36 @@
 def _choose_in(
     state: PlacementState, wish: Wish, region: str, now: Nanoseconds
 ) -> Choice | None:
-    typical = state.typical.get(wish.service, FIRST_WORK_NS)
     best: Choice | None = None
+    usual = usual_work(state, wish.service)
+    has_home = False
     for name in _ranks(state, wish, region):
         view = state.servers[name]
         if name in wish.excluded or not _may_get(state, view, now):
             continue
-        choice = _judge(state, view, now)
-        is_fast = choice.work <= SLOW_RATIO * typical
-        if choice.wait == 0 and is_fast and view.full_until <= now:
-            return choice
+        is_warm = not has_home or wish.object_name in view.warm
+        choice = _judge(state, view, usual, is_warm, now)
         if best is None or _cost(choice, now) < _cost(best, now):
             best = choice
+        has_home = True
     return best
 
 
-def _judge(state: PlacementState, view: ServerView, now: Nanoseconds) -> Choice:
-    work = expected_work(state, view, now)
+def _judge(
+    state: PlacementState,
+    view: ServerView,
+    usual: UsualWork,
+    is_warm: bool,
+    now: Nanoseconds,
+) -> Choice:
+    factor = slowness(view, now)
     slots = max(1, view.server.slots)
     queued = max(0, estimated_load(view, now) - slots + 1)
     return Choice(
-        view, round(queued * work / slots), round(work), _travel(state, view)
+        view,
+        round(queued * usual.warm * factor / slots),
+        round((usual.warm if is_warm else usual.cold) * factor),
+        _travel(state, view),
     )
 
 
@@ -150,6 +158,22 @@
     return not is_cold(view, now) or has_cold_room(state, view, now)
 
 
+def _other_regions(state: PlacementState) -> tuple[str, ...]:
+    own = state.place.region
+    return tuple(sorted({*state.regions.values()} - {own}))
+
+
+def _spill_region(
+    spill: SpillState, others: tuple[str, ...], point: float
+) -> str:
+    left = point * sum(spill.spare.get(region, 0) for region in others)
+    for region in others:
+        left -= spill.spare.get(region, 0)
+        if left < 0:
+            return region
+    return others[0]
+
+
 def _ranks(state: PlacementState, wish: Wish, region: str) -> tuple[str, ...]:
     key = (wish.service, region, wish.object_name)
     known = state.ranks.get(key)
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -24,7 +24,7 @@
         in_flight: Requests of this daemon that it runs or queues now.
         others: Requests of other daemons at the time of the last report.
         reported_at: Time of the last report, ``None`` before the first.
-        work: Smoothed time of its answers; 0 before the first.
+        slowness: Smoothed time of its answers against the usual time.
         work_at: Time of the last answer.
         failure_share: Smoothed share of failed requests, 0 to 1.
         failures: Failures in a row.
@@ -34,6 +34,7 @@
         full_until: End of the time in which it is taken to be full.
         cold_until: End of its cold time, 0 for none.
         cold_sends: Times of this daemon's last sends while it was cold.
+        warm: Objects that it has handled for this daemon, the oldest first.
     """
 
     server: ListedServer
@@ -41,7 +42,7 @@
     in_flight: int = 0
     others: int = 0
     reported_at: Nanoseconds | None = None
-    work: float = 0
+    slowness: float = 1
     work_at: Nanoseconds = 0
     failure_share: float = 0
     failures: int = 0
@@ -50,6 +51,20 @@
     full_until: Nanoseconds = 0
     cold_until: Nanoseconds = 0
     cold_sends: deque[Nanoseconds] = field(factory=deque)
+    warm: dict[str, None] = field(factory=dict)
+
+
+@define
+class UsualWork:
+    """Smoothed times of the answers of a service without a queue.
+
+    Attributes:
+        warm: For objects that the server has handled before, nanoseconds.
+        cold: For other objects, nanoseconds.
+    """
+
+    warm: float
+    cold: float
 
 
 @define
@@ -58,11 +73,13 @@
 
     Attributes:
         fraction: Share of the objects whose home is in another region.
-        changed_at: Time of the last change.
+        base: Share that the own region's part of all slots asks for.
+        spare: Slots of the other regions beyond their part, by region.
     """
 
     fraction: float = 0
-    changed_at: Nanoseconds = 0
+    base: float = 0
+    spare: dict[str, float] = field(factory=dict)
 
 
 @define
@@ -79,7 +96,9 @@
         evacuated: Zones that get no new work.
         spills: Spill state by service.
         ranks: Order of servers by service, region and object.
-        typical: Smoothed time of answers by service, nanoseconds.
+        usual: Usual times of answers by service.
+        is_started: Whether requests have been placed; from then on objects
+            change region only step by step.
     """
 
     place: Place
@@ -90,7 +109,8 @@
     evacuated: frozenset[str] = frozenset()
     spills: dict[str, SpillState] = field(factory=dict)
     ranks: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
-    typical: dict[str, float] = field(factory=dict)
+    usual: dict[str, UsualWork] = field(factory=dict)
+    is_started: bool = False
 
 
 @frozen
--- a/packages/core/src/geraniumshelf_core/presence/queries.py
+++ b/packages/core/src/geraniumshelf_core/presence/queries.py
@@ -15,6 +15,9 @@
 # Up to this many daemons send a beat to each other in the shortest interval.
 _SMALL_FLEET: Final = 16
 _LOST_INTERVALS: Final = 3
+# Limits are divided by this number while the registry is unknown, so that a
+# daemon that starts during an outage of the store takes too little.
+_UNKNOWN_FLEET: Final = 100
 
 
 def beat_interval(state: PresenceState) -> Nanoseconds:
@@ -58,7 +61,7 @@
 
 def fleet_size(state: PresenceState) -> int:
     """Return how many daemons may be alive, this one included."""
-    return max(1, len(state.registered))
+    return _possible(state, len(state.registered))
 
 
 def region_size(
@@ -66,4 +69,10 @@
 ) -> int:
     """Return how many daemons of a region may be alive."""
     zones = state.registered.values()
-    return max(1, sum(regions.get(zone) == region for zone in zones))
+    return _possible(state, sum(regions.get(zone) == region for zone in zones))
+
+
+def _possible(state: PresenceState, known: int) -> int:
+    if state.is_complete:
+        return max(1, known)
+    return max(_UNKNOWN_FLEET, known)
--- a/packages/core/src/geraniumshelf_core/presence/state.py
+++ b/packages/core/src/geraniumshelf_core/presence/state.py
@@ -30,6 +30,36 @@
     known: tuple[str, ...] = ()
 
 
+@frozen
+class ShareRequest:
+    """A question for a part of the shares of client accounts.
+
+    Attributes:
+        name: Instance that asks.
+        asked_at: Time of the question by its own clock.
+        wanted: Wanted part by account, in shares of one daemon.
+    """
+
+    name: str
+    asked_at: Nanoseconds
+    wanted: dict[str, float]
+
+
+@frozen
+class ShareLoan:
+    """The answer to a ``ShareRequest``.
+
+    Attributes:
+        name: Instance that lends.
+        asked_at: Time of the question by the borrower's clock.
+        lent: Lent part by account, in shares of one daemon.
+    """
+
+    name: str
+    asked_at: Nanoseconds
+    lent: dict[str, float]
+
+
 @define
 class Neighbour:
     """Another daemon.
@@ -53,9 +83,11 @@
         targets: IP addresses to send beats to, with the name of the
             instance if it is known.
         registered: Zone of every instance that is or was registered.
+        is_complete: Whether the registry has been read.
     """
 
     own_ip: str
     neighbours: dict[str, Neighbour] = field(factory=dict)
     targets: dict[str, str] = field(factory=dict)
     registered: dict[str, str] = field(factory=dict)
+    is_complete: bool = False
--- a/packages/core/src/geraniumshelf_core/shares/bucket.py
+++ b/packages/core/src/geraniumshelf_core/shares/bucket.py
@@ -26,8 +26,11 @@
     filled_at: Nanoseconds = 0
 
 
-def resize(bucket: ShareBucket, rate: float, capacity: float) -> None:
+def resize(
+    bucket: ShareBucket, rate: float, capacity: float, now: Nanoseconds
+) -> None:
     """Change the share; a smaller capacity holds at once."""
+    refill(bucket, now)
     bucket.rate = rate
     bucket.capacity = capacity
     bucket.tokens = min(bucket.tokens, capacity)
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/shares/loans.py
@@ -0,0 +1,122 @@
+"""Timed loans of account shares between daemons.
+
+Answers callers of one account that use few daemons at a time: a daemon with
+spare share lends a part of it for a short term. The borrower counts the term
+from when it asked and the lender from when it answered, so the borrower
+always stops first, and a lost message never adds to the sum.
+"""
+
+from collections.abc import Mapping
+from typing import Final
+
+from attrs import define, field, frozen
+
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
+
+# Three heartbeats of a small fleet, so that one lost message costs nothing.
+TERM_NS: Final[Nanoseconds] = 1500 * MILLISECOND_NS
+# Clocks of two instances drift apart by far less than this in a term.
+_DRIFT_NS: Final[Nanoseconds] = 100 * MILLISECOND_NS
+# Part of its own share that a daemon keeps in any case.
+_KEPT_SHARE: Final = 0.1
+# Smaller loans aren't worth a message.
+_LEAST_LOAN: Final = 0.02
+
+
+@frozen
+class Term:
+    """A part of a share for a time.
+
+    Attributes:
+        share: Part, in shares of one daemon.
+        until: End of the term.
+    """
+
+    share: float
+    until: Nanoseconds
+
+
+@define
+class Loans:
+    """Loans of one account at this daemon.
+
+    Attributes:
+        lent: Terms by the name of the borrower.
+        borrowed: Newest term by the name of the lender.
+    """
+
+    lent: dict[str, tuple[Term, ...]] = field(factory=dict)
+    borrowed: dict[str, Term] = field(factory=dict)
+
+
+def lent_share(loans: Loans, now: Nanoseconds) -> float:
+    """Return what is lent now, the largest running term of each borrower."""
+    return sum(
+        max((term.share for term in terms if term.until > now), default=0)
+        for terms in loans.lent.values()
+    )
+
+
+def borrowed_share(loans: Loans, now: Nanoseconds) -> float:
+    """Return what is borrowed now."""
+    return sum(
+        term.share for term in loans.borrowed.values() if term.until > now
+    )
+
+
+def own_share(loans: Loans, now: Nanoseconds) -> float:
+    """Return what this daemon may use now; 1 without loans."""
+    return 1 - lent_share(loans, now) + borrowed_share(loans, now)
+
+
+def lend(
+    loans: Loans, borrower: str, wanted: float, needed: float, now: Nanoseconds
+) -> float:
+    """Lend a part of the share and return how much; 0 for none.
+
+    Args:
+        loans: Loans of the account.
+        borrower: Name of the daemon that asks.
+        wanted: What it asks for.
+        needed: What this daemon needs itself.
+        now: Current time.
+    """
+    terms = tuple(
+        term for term in loans.lent.get(borrower, ()) if term.until > now
+    )
+    loans.lent[borrower] = ()
+    spare = 1 - lent_share(loans, now) - max(needed, _KEPT_SHARE)
+    loans.lent[borrower] = terms
+    share = min(wanted, spare)
+    if share < _LEAST_LOAN:
+        return 0
+    loans.lent[borrower] = (*terms, Term(share, now + TERM_NS + _DRIFT_NS))
+    return share
+
+
+def borrow(
+    loans: Loans, lender: str, share: float, asked_at: Nanoseconds
+) -> None:
+    """Take over a loan that answers a question asked at a time."""
+    until = asked_at + TERM_NS
+    known = loans.borrowed.get(lender)
+    if known is None or known.until < until:
+        loans.borrowed[lender] = Term(share, until)
+
+
+def wanted_loans(needs: Mapping[str, float], others: int) -> dict[str, float]:
+    """Return what to ask each of the other daemons for, by account.
+
+    Args:
+        needs: Need by account, in shares of one daemon.
+        others: Number of other daemons; each is asked for twice its part, as
+            some have nothing to spare.
+    """
+    if others < 1:
+        return {}
+    part = 2 / (others + 1)
+    return {
+        name: (need - 1) * part
+        for name, need in needs.items()
+        if (need - 1) * part >= _LEAST_LOAN
+    }
--- a/packages/core/src/geraniumshelf_core/shares/quotas.py
+++ b/packages/core/src/geraniumshelf_core/shares/quotas.py
@@ -1,10 +1,12 @@
 """Shares of the rates of client accounts.
 
 Answers an account that sends several times its rate to many daemons at once:
-each daemon admits its own part, so the sum holds without a message.
+each daemon admits its own part, so the sum holds without a message; what one
+does not need it lends.
 """
 
 from collections.abc import Iterable
+from typing import Final
 
 from attrs import define, field
 
@@ -14,23 +16,55 @@
     take,
     time_to_token,
 )
+from geraniumshelf_core.shares.loans import Loans, borrow, lend, own_share
 from geraniumshelf_core.site.model import SiteAccount
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+
+# Part of a limit that is given out; requests that were admitted one after the
+# other may reach their servers closer together.
+_GIVEN_PART: Final = 0.95
+# Demand is smoothed over about this time.
+_DEMAND_WINDOW_NS: Final[Nanoseconds] = 2 * SECOND_NS
+# A share is wanted that covers this many times the demand, as demand varies.
+_HEADROOM: Final = 1.6
+
+
+@define
+class AccountShare:
+    """This daemon's part of an account's limit.
+
+    Attributes:
+        bucket: Tokens for requests.
+        rate: Rate of one share, per second.
+        capacity: Bucket capacity of one share.
+        loans: What is lent and borrowed.
+        arrivals: Requests since the last measurement.
+        demand: Smoothed requests per second.
+        measured_at: Time of the last measurement.
+    """
+
+    bucket: ShareBucket
+    rate: float
+    capacity: float
+    loans: Loans = field(factory=Loans)
+    arrivals: int = 0
+    demand: float = 0
+    measured_at: Nanoseconds = 0
 
 
 @define
 class Quotas:
-    """This daemon's buckets.
+    """This daemon's shares.
 
     Attributes:
         overshoot: Part of a rate that is allowed beyond it.
         slack: Requests that are allowed beyond the burst in a window.
-        buckets: Bucket by account name.
+        shares: Share by account name.
     """
 
     overshoot: float
     slack: float
-    buckets: dict[str, ShareBucket] = field(factory=dict)
+    shares: dict[str, AccountShare] = field(factory=dict)
 
 
 def divide_quotas(
@@ -41,26 +75,86 @@
 ) -> None:
     """Take over the limits of a configuration for a number of daemons."""
     wanted = {one.name: one for one in accounts if one.rate > 0}
-    for name in quotas.buckets.keys() - wanted.keys():
-        del quotas.buckets[name]
-    factor = 1 + quotas.overshoot
+    for name in quotas.shares.keys() - wanted.keys():
+        del quotas.shares[name]
+    factor = (1 + quotas.overshoot) * _GIVEN_PART / daemons
+    slack = quotas.slack * _GIVEN_PART / daemons
     for name, account in wanted.items():
-        rate = account.rate * factor / daemons
-        capacity = (account.burst * factor + quotas.slack) / daemons
-        bucket = quotas.buckets.get(name)
-        if bucket is None:
+        rate = account.rate * factor
+        capacity = account.burst * factor + slack
+        share = quotas.shares.get(name)
+        if share is None:
             bucket = ShareBucket(rate, capacity, filled_at=now)
-            quotas.buckets[name] = bucket
-        resize(bucket, rate, capacity)
+            share = AccountShare(bucket, rate, capacity, measured_at=now)
+            quotas.shares[name] = share
+        share.rate = rate
+        share.capacity = capacity
+        _apply_loans(share, now)
 
 
 def admit(quotas: Quotas, account: str, now: Nanoseconds) -> bool:
     """Take a token of an account; an account without a limit needs none."""
-    bucket = quotas.buckets.get(account)
-    return bucket is None or take(bucket, now)
+    share = quotas.shares.get(account)
+    if share is None:
+        return True
+    share.arrivals += 1
+    _apply_loans(share, now)
+    return take(share.bucket, now)
 
 
 def wait_for_admission(quotas: Quotas, account: str) -> Nanoseconds:
     """Return the time until an account that was refused has a token."""
-    bucket = quotas.buckets.get(account)
-    return 0 if bucket is None else time_to_token(bucket)
+    share = quotas.shares.get(account)
+    return 0 if share is None else time_to_token(share.bucket)
+
+
+def measure_needs(quotas: Quotas, now: Nanoseconds) -> dict[str, float]:
+    """Measure the demand; return the need of each account, in shares."""
+    for share in quotas.shares.values():
+        age = now - share.measured_at
+        if age <= 0:
+            continue
+        weight = min(1, age / _DEMAND_WINDOW_NS)
+        recent = share.arrivals * SECOND_NS / age
+        share.demand += weight * (recent - share.demand)
+        share.arrivals = 0
+        share.measured_at = now
+    return {
+        name: _HEADROOM * share.demand / share.rate
+        for name, share in quotas.shares.items()
+    }
+
+
+def lend_share(
+    quotas: Quotas,
+    account: str,
+    borrower: str,
+    wanted: float,
+    now: Nanoseconds,
+) -> float:
+    """Lend a part of this daemon's share; return how much, 0 for none."""
+    share = quotas.shares.get(account)
+    if share is None:
+        return 0
+    needed = _HEADROOM * share.demand / share.rate
+    given = lend(share.loans, borrower, wanted, needed, now)
+    _apply_loans(share, now)
+    return given
+
+
+def borrow_share(
+    quotas: Quotas,
+    account: str,
+    lender: str,
+    part: float,
+    asked_at: Nanoseconds,
+) -> None:
+    """Take over a loan that answers a question asked at a time."""
+    share = quotas.shares.get(account)
+    if share is not None:
+        borrow(share.loans, lender, part, asked_at)
+
+
+def _apply_loans(share: AccountShare, now: Nanoseconds) -> None:
+    part = own_share(share.loans, now)
+    resize(share.bucket, share.rate * part, share.capacity * part, now)
--- a/packages/core/src/geraniumshelf_core/shares/retries.py
+++ b/packages/core/src/geraniumshelf_core/shares/retries.py
@@ -45,11 +45,11 @@
     budgets: dict[str, ServiceBudget] = field(factory=dict)
 
 
-def share_slack(shares: RetryShares, daemons: int) -> None:
+def share_slack(shares: RetryShares, daemons: int, now: Nanoseconds) -> None:
     """Divide the slack among a number of daemons."""
     shares.daemons = daemons
     for budget in shares.budgets.values():
-        resize(budget.slack, *_slack_share(shares))
+        resize(budget.slack, *_slack_share(shares), now)
 
 
 def earn(shares: RetryShares, service: str, now: Nanoseconds) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 from tornado.httputil import HTTPHeaders
 
+from geraniumshelf_core.dispatch.links.state import FlowName
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_core.site.model import ListedServer, Repeatability
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds, ns_to_seconds
@@ -34,7 +35,7 @@
     Repeatability.AT_MOST_ONCE: SECOND_NS,
 }
 _SUCCESS: Final = range(200, 300)
-_OWN_REGION: Final = Passage('', ('', False))
+_OWN_REGION: Final = Passage('', FlowName('', ''))
 
 
 @frozen
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -4,7 +4,7 @@
 import os
 from collections.abc import Awaitable, Callable
 from random import Random
-from time import monotonic_ns
+from time import CLOCK_BOOTTIME, clock_gettime_ns
 from typing import Final
 
 from geraniumshelf_core.dispatch.state import Place
@@ -65,6 +65,14 @@
 _IDLE_TIMEOUT_S: Final = 15.0
 
 
+def boot_time() -> Nanoseconds:
+    """Return a steady time that goes on while the instance is suspended.
+
+    Terms of loans must have ended when a suspended borrower wakes up.
+    """
+    return clock_gettime_ns(CLOCK_BOOTTIME)
+
+
 class EdgeDaemon:
     """Wires the parts of a daemon and runs them until it is told to stop."""
 
@@ -73,7 +81,7 @@
         settings: EdgeSettings,
         store: SiteStore,
         codec: HeaderCodec,
-        clock: Callable[[], Nanoseconds] = monotonic_ns,
+        clock: Callable[[], Nanoseconds] = boot_time,
         random: Random | None = None,
     ) -> None:
         self._settings = settings
@@ -100,6 +108,7 @@
             settings.peer_port,
             clock,
             self._random,
+            self._state.quotas,
         )
         self._servers = ServerSink(self._state)
         self._pool = ConnectionPool(_IDLE_CONNECTIONS, _CONNECT_TIMEOUT_NS)
@@ -203,7 +212,14 @@
         kind: SiteKind,
         sink: ConfigurationSink | ServerSink | EvacuationSink,
     ) -> Watcher:
-        return Watcher(self._store, kind, sink, self._clock, self._random)
+        return Watcher(
+            self._store,
+            kind,
+            sink,
+            self._clock,
+            self._random,
+            self._settings.bounds.contact,
+        )
 
     async def _tick(self) -> None:
         step = (
@@ -211,26 +227,28 @@
             * _SHIFT_PART
             / _TICKS_PER_SHIFT_WINDOW
         )
-        size = 0
+        sizes: tuple[int, int] | None = None
         while True:
             now = self._clock()
             self._servers.forget_removed(now)
             adjust_spills(self._state.placement, step, now)
             self._heartbeats.set_ready(self._is_ready())
-            if size != fleet_size(self._presence):
-                size = fleet_size(self._presence)
+            if sizes != self._sizes():
+                sizes = self._sizes()
                 self._divide()
             await asyncio.sleep(_TICK_S)
 
+    def _sizes(self) -> tuple[int, int]:
+        settings = self._settings
+        near = region_size(self._presence, settings.region, settings.regions)
+        return fleet_size(self._presence), near
+
     def _divide(self) -> None:
         table = self._state.table
         if table is None:
             return
         bounds, placement = self._settings.bounds, self._state.placement
-        daemons = fleet_size(self._presence)
-        near = region_size(
-            self._presence, self._settings.region, self._settings.regions
-        )
+        daemons, near = self._sizes()
         configuration = table.configuration
         divide_quotas(
             self._state.quotas,
@@ -238,7 +256,7 @@
             daemons,
             self._clock(),
         )
-        share_slack(self._state.retries, daemons)
+        share_slack(self._state.retries, daemons, self._clock())
         for service in configuration.services.values():
             limit = cold_limit(
                 service.cold_rate, bounds.cold_overshoot, bounds.cold_slack
@@ -261,6 +279,7 @@
                         register_instance(
                             self._presence, record.name, record.zone, record.ip
                         )
+                self._presence.is_complete = True
                 if not is_registered and view.records.get(own.name) != own:
                     await self._store.register(own)
                 is_registered = True
--- a/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
@@ -1,6 +1,7 @@
-"""Heartbeats between daemons over UDP, encoded in CBOR."""
+"""Messages between daemons over UDP, encoded in CBOR."""
 
 import asyncio
+import heapq
 from collections.abc import Callable
 from random import Random
 from typing import Any, Final
@@ -10,34 +11,66 @@
 
 from geraniumshelf_core.presence.commands import forget_silent, record_beat
 from geraniumshelf_core.presence.queries import beat_interval, silence_limit
-from geraniumshelf_core.presence.state import Beat, PresenceState
+from geraniumshelf_core.presence.state import (
+    Beat,
+    PresenceState,
+    ShareLoan,
+    ShareRequest,
+)
+from geraniumshelf_core.shares.loans import wanted_loans
+from geraniumshelf_core.shares.quotas import (
+    Quotas,
+    borrow_share,
+    lend_share,
+    measure_needs,
+)
 from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.observability.events import Event, log_event
 
-_FORMAT: Final = 1
+_FORMAT: Final = 2
 # Addresses in one datagram; more than fit are told by others.
 _MOST_KNOWN: Final = 60
-_FIELD_TYPES: Final = (str, int, int, str, str, str, bool, list)
+# Accounts in one datagram; the others are asked for with a later beat.
+_MOST_ACCOUNTS: Final = 60
 
+Message = Beat | ShareRequest | ShareLoan
 
-def encode_beat(beat: Beat) -> bytes:
-    """Return a beat as a datagram."""
-    return cbor2.dumps((_FORMAT, *astuple(beat)))
+_KINDS: Final[tuple[type[Message], ...]] = (Beat, ShareRequest, ShareLoan)
+_FIELD_TYPES: Final = {
+    Beat: (str, int, int, str, str, str, bool, list),
+    ShareRequest: (str, int, dict),
+    ShareLoan: (str, int, dict),
+}
 
 
-def decode_beat(datagram: bytes) -> Beat | None:
-    """Return the beat in a datagram, ``None`` if it holds none."""
+def encode_message(message: Message) -> bytes:
+    """Return a message as a datagram."""
+    kind = _KINDS.index(type(message))
+    return cbor2.dumps((_FORMAT, kind, *astuple(message, recurse=False)))
+
+
+def decode_message(datagram: bytes) -> Message | None:
+    """Return the message in a datagram, ``None`` if it holds none."""
     try:
         found = cbor2.loads(datagram)
+        version, kind, *fields = found
+        wanted = _KINDS[kind]
     except Exception:
         return None
-    if not isinstance(found, list) or len(found) != len(_FIELD_TYPES) + 1:
+    types = _FIELD_TYPES[wanted]
+    if version != _FORMAT or len(fields) != len(types):
         return None
-    version, *fields = found
-    if version != _FORMAT or not all(map(isinstance, fields, _FIELD_TYPES)):
+    if not all(map(isinstance, fields, types)):
         return None
-    *fields, known = fields
-    return Beat(*fields, tuple(ip for ip in known if isinstance(ip, str)))
+    *fields, last = fields
+    if isinstance(last, list):
+        return Beat(*fields, tuple(ip for ip in last if isinstance(ip, str)))
+    parts = {
+        name: float(part)
+        for name, part in last.items()
+        if isinstance(name, str) and isinstance(part, int | float)
+    }
+    return wanted(*fields, parts)
 
 
 class Heartbeats:
@@ -50,8 +83,10 @@
         port: int,
         clock: Callable[[], Nanoseconds],
         random: Random,
+        quotas: Quotas,
     ) -> None:
         self._state = state
+        self._quotas = quotas
         self._own = own
         self._port = port
         self._clock = clock
@@ -84,6 +119,7 @@
             for name in silent:
                 log_event(Event.INSTANCE_LOST, name)
             self.send()
+            self._ask_shares(now)
             interval = ns_to_seconds(beat_interval(self._state))
             await asyncio.sleep(interval * (0.9 + self._random.random() / 5))
 
@@ -100,7 +136,7 @@
             sequence=self._own.sequence + 1,
             known=tuple(self._state.targets)[:_MOST_KNOWN],
         )
-        datagram = encode_beat(self._own)
+        datagram = encode_message(self._own)
         for ip in tuple(self._state.targets):
             self._send_to(ip, datagram)
 
@@ -113,15 +149,57 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(datagram, (ip, self._port))
 
+    def _ask_shares(self, now: Nanoseconds) -> None:
+        needs = measure_needs(self._quotas, now)
+        wanted = wanted_loans(needs, len(self._state.neighbours))
+        if not wanted:
+            return
+        most = heapq.nlargest(_MOST_ACCOUNTS, wanted, key=wanted.__getitem__)
+        datagram = encode_message(
+            ShareRequest(
+                self._own.name, now, {name: wanted[name] for name in most}
+            )
+        )
+        for neighbour in self._state.neighbours.values():
+            self._send_to(neighbour.beat.ip, datagram)
+
     def _take(self, datagram: bytes) -> None:
-        beat = decode_beat(datagram)
-        if beat is None:
-            log_event(Event.PEER_FRAME_REFUSED, f'{len(datagram)} bytes')
-        elif beat.name != self._own.name and record_beat(
+        message = decode_message(datagram)
+        match message:
+            case None:
+                log_event(Event.PEER_FRAME_REFUSED, f'{len(datagram)} bytes')
+            case Beat():
+                self._take_beat(message)
+            case ShareRequest():
+                self._lend(message)
+            case ShareLoan(name, asked_at, lent):
+                for account, part in lent.items():
+                    borrow_share(self._quotas, account, name, part, asked_at)
+
+    def _take_beat(self, beat: Beat) -> None:
+        if beat.name != self._own.name and record_beat(
             self._state, beat, self._clock()
         ):
             log_event(Event.INSTANCE_FOUND, beat.name, zone=beat.zone)
-            self._send_to(beat.ip, encode_beat(self._own))
+            self._send_to(beat.ip, encode_message(self._own))
+
+    def _lend(self, request: ShareRequest) -> None:
+        neighbour = self._state.neighbours.get(request.name)
+        if neighbour is None:
+            return
+        now = self._clock()
+        lent = {
+            account: part
+            for account, wanted in request.wanted.items()
+            if (
+                part := lend_share(
+                    self._quotas, account, request.name, wanted, now
+                )
+            )
+        }
+        if lent:
+            loan = ShareLoan(self._own.name, request.asked_at, lent)
+            self._send_to(neighbour.beat.ip, encode_message(loan))
 
 
 class _Receiver(asyncio.DatagramProtocol):
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -17,7 +17,7 @@
     record_report,
     suspect_server,
 )
-from geraniumshelf_core.placement.queries import FIRST_WORK_NS, choose_server
+from geraniumshelf_core.placement.queries import choose_server, usual_work
 from geraniumshelf_core.placement.state import Choice, PlacementState, Wish
 from geraniumshelf_core.shares.quotas import (
     Quotas,
@@ -45,7 +45,7 @@
 from geraniumshelf_daemon.upstream.upload import Upload
 
 # Without an answer for this many times the usual work a server is suspected.
-_SILENCE_RATIO: Final = 3
+_SILENCE_RATIO: Final = 2
 _LEAST_SILENCE_S: Final = 0.3
 # An answer from another server takes about this many times the usual work.
 _REPEAT_RATIO: Final = 1.5
@@ -195,7 +195,7 @@
     ) -> tuple[ServerAttempt, Answer]:
         view, placement = choice.view, self._state.placement
         attempt = ServerAttempt(self._tools, order, view.server, upload)
-        begin_request(view, self._clock())
+        begin_request(placement, view, self._clock())
         outcome = Outcome()
         is_done = False
         try:
@@ -208,7 +208,8 @@
             )
             outcome = Outcome(
                 is_failure=answer.status in _SERVER_ERRORS,
-                work=self._clock() - sent - choice.travel,
+                work=max(1, self._clock() - sent - choice.travel),
+                object_name=order.object_name,
             )
             is_done = True
         except AttemptFailed as failure:
@@ -232,7 +233,7 @@
         progress: _Progress,
     ) -> Callable[[], float | None]:
         placement = self._state.placement
-        typical = placement.typical.get(order.service, FIRST_WORK_NS)
+        typical = usual_work(placement, order.service).cold
         patience = max(
             _LEAST_SILENCE_S,
             ns_to_seconds(choice.wait + round(typical * _SILENCE_RATIO)),
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
@@ -6,13 +6,15 @@
 from typing import Final, Protocol
 
 from geraniumshelf_core.errors import PlatformError, ResultCode
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.edge.interface import SiteKind, SiteStore, SiteView
 from geraniumshelf_daemon.observability.events import Event, log_event
 
-# A watch that was silenced on the way is noticed after its wait, so the wait
-# is below the shortest bound on being out of touch, 3 s.
-_WAIT_S: Final = 2.2
+# A watch that was silenced on the way is noticed when its wait is over. That
+# must happen before the daemon counts as in touch again.
+_MARGIN_S: Final = 0.3
+# Changes of this time are fetched together.
+_GATHER_S: Final = 0.3
 _PAUSE_S: Final = 0.25
 
 
@@ -40,7 +42,20 @@
         sink: RecordSink,
         clock: Callable[[], Nanoseconds],
         random: Random,
+        contact: Nanoseconds,
     ) -> None:
+        """Prepare to follow a kind.
+
+        Args:
+            store: The platform's store.
+            kind: What to follow.
+            sink: Takes what was found.
+            clock: Returns the current time, nanoseconds.
+            random: Spreads the calls of the daemons.
+            contact: Time after a fault within which the daemon is back in
+                touch.
+        """
+        self._wait_s = ns_to_seconds(contact) - _MARGIN_S
         self._store = store
         self._kind = kind
         self._sink = sink
@@ -63,12 +78,13 @@
             self._sink.replace(view, self._clock(), after_outage=self._is_lost)
         else:
             view = await self._store.watch_records(
-                self._kind, self._revision, _WAIT_S
+                self._kind, self._revision, self._wait_s
             )
             if view.records:
                 self._sink.change(
                     view, self._clock(), after_outage=self._is_lost
                 )
+                await asyncio.sleep(_GATHER_S)
         self._revision = view.revision
         if self._is_lost:
             self._is_lost = False
