Give up a silent server only for a better place

Ruled out: the shutdown itself, as the same happened without a signal. Change: an attempt is ended for silence only if the budget allows a repeat and a free server would answer in time, and never during a shutdown. A POST without a body is sent with a length. Tests of the adapter and of the path with stand-ins for the store and the servers.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 PACKAGES := core daemon cli standins
-SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src)
+SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src) platform/geraniumshelf_platform
+CHECKED := packages platform tests tools
 STAMP := $(VENV)/.installed
 
 .PHONY: setup test check format lint types unit demo measure clean
@@ -21,13 +22,13 @@
 check: lint types unit
 
 format:
-	-$(BIN)/ruff check --fix --quiet packages tests tools
-	$(BIN)/ruff format packages tests tools
+	-$(BIN)/ruff check --fix --quiet $(CHECKED)
+	$(BIN)/ruff format $(CHECKED)
 
 lint:
-	$(BIN)/ruff format --check packages tests tools
-	$(BIN)/ruff check packages tests tools
-	$(BIN)/flake8 packages tests tools
+	$(BIN)/ruff format --check $(CHECKED)
+	$(BIN)/ruff check $(CHECKED)
+	$(BIN)/flake8 $(CHECKED)
 
 types:
 	$(BIN)/mypy $(SOURCES)
--- a/packages/core/src/geraniumshelf_core/shares/retries.py
+++ b/packages/core/src/geraniumshelf_core/shares/retries.py
@@ -71,6 +71,13 @@
     return True
 
 
+def can_spend(shares: RetryShares, service: str, now: Nanoseconds) -> bool:
+    """Return whether ``spend`` would allow a repeat now."""
+    budget = _budget(shares, service, now)
+    refill(budget.slack, now)
+    return budget.earned >= 1 or budget.slack.tokens >= 1
+
+
 def _budget(
     shares: RetryShares, service: str, now: Nanoseconds
 ) -> ServiceBudget:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
@@ -18,6 +18,7 @@
 )
 from geraniumshelf_daemon.edge.order import Order
 from geraniumshelf_daemon.front.caller import Caller
+from geraniumshelf_daemon.front.framing import BODY_METHODS
 from geraniumshelf_daemon.upstream.exchange import Exchange
 from geraniumshelf_daemon.upstream.links import Passage
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
@@ -176,7 +177,7 @@
 
     def _headers(self, caller: Caller) -> HTTPHeaders:
         order = self._order
-        return self._tools.codec.write_request(
+        headers = self._tools.codec.write_request(
             caller.headers,
             order.fields.key,
             ForwardedFields(
@@ -185,6 +186,10 @@
                 order.deadline - self._tools.clock(),
             ),
         )
+        if not caller.has_body and caller.method in BODY_METHODS:
+            # Without a length tornado announces a body in chunks.
+            headers['Content-Length'] = '0'
+        return headers
 
     async def _send(self) -> None:
         assert self._exchange is not None
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -7,6 +7,8 @@
 from time import CLOCK_BOOTTIME, clock_gettime_ns
 from typing import Final
 
+from attrs import evolve
+
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.errors import PlatformError
 from geraniumshelf_core.placement.commands import adjust_spills
@@ -169,6 +171,19 @@
             self._tasks.append(asyncio.create_task(_guard(step)))
         log_event(Event.DAEMON_STARTED, settings.name, zone=settings.zone)
 
+    def apply_settings(self, settings: EdgeSettings) -> None:
+        """Take over changed bounds; addresses stay until the next start."""
+        bounds = settings.bounds
+        self._settings = evolve(self._settings, bounds=bounds)
+        quotas, retries = self._state.quotas, self._state.retries
+        quotas.overshoot = bounds.quota_overshoot
+        quotas.slack = bounds.quota_slack
+        retries.ratio = bounds.retry_ratio
+        retries.slack = bounds.retry_slack
+        retries.window_s = ns_to_seconds(bounds.retry_window)
+        self._divide()
+        log_event(Event.SETTINGS_RELOADED, settings.name)
+
     def begin_stop(self) -> None:
         """Begin a graceful shutdown."""
         if not self._stopping.is_set():
@@ -182,6 +197,7 @@
     async def stop(self) -> None:
         """Let callers leave, finish their requests and close everything."""
         begun = self._clock()
+        self._state.is_stopping = True
         self._heartbeats.set_ready(False)
         self._front.stop_keep_alive()
         await asyncio.sleep(_LEAVE_S)
@@ -190,17 +206,23 @@
         grace = round(self._settings.bounds.grace * _GRACE_PART)
         while self._state.running and self._clock() - begun < grace:
             await asyncio.sleep(_POLL_S)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._heartbeats.close()
-        self._pool.close()
+        await self.close()
         log_event(
             Event.DAEMON_STOPPED,
             self._settings.name,
             requests=self._state.running,
         )
 
+    async def close(self) -> None:
+        """Close everything at once, also requests under way."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in (self._front, self._directory, self._ready):
+            await server.close()
+        self._heartbeats.close()
+        self._pool.close()
+
     def _is_ready(self) -> bool:
         return (
             not self._stopping.is_set()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -24,10 +24,19 @@
     admit,
     wait_for_admission,
 )
-from geraniumshelf_core.shares.retries import RetryShares, earn, spend
+from geraniumshelf_core.shares.retries import (
+    RetryShares,
+    can_spend,
+    earn,
+    spend,
+)
 from geraniumshelf_core.site.model import Repeatability
 from geraniumshelf_core.site.routing import RoutingTable
-from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
+from geraniumshelf_core.units import (
+    MILLISECOND_NS,
+    Nanoseconds,
+    ns_to_seconds,
+)
 from geraniumshelf_daemon.edge.attempt import (
     Answer,
     AttemptTools,
@@ -46,7 +55,7 @@
 
 # Without an answer for this many times the usual work a server is suspected.
 _SILENCE_RATIO: Final = 2
-_LEAST_SILENCE_S: Final = 0.3
+_LEAST_SILENCE_NS: Final[Nanoseconds] = 300 * MILLISECOND_NS
 # An answer from another server takes about this many times the usual work.
 _REPEAT_RATIO: Final = 1.5
 _SERVER_ERRORS: Final = range(500, 600)
@@ -63,6 +72,7 @@
         table: Routes and keys, ``None`` before the first configuration.
         lines: Budget of log lines.
         running: Requests that run now.
+        is_stopping: Whether a graceful shutdown has begun.
     """
 
     placement: PlacementState
@@ -71,6 +81,7 @@
     table: RoutingTable | None = None
     lines: LineBudget = field(factory=LineBudget)
     running: int = 0
+    is_stopping: bool = False
 
 
 @define(eq=False)
@@ -237,27 +248,60 @@
         progress: _Progress,
     ) -> Callable[[], float | None]:
         placement = self._state.placement
-        typical = usual_work(placement, order.service).cold
+        usual = usual_work(placement, order.service).cold
         patience = max(
-            _LEAST_SILENCE_S,
-            ns_to_seconds(choice.wait + round(typical * _SILENCE_RATIO)),
-            ns_to_seconds(order.route.target_latency),
+            _LEAST_SILENCE_NS,
+            choice.wait + round(usual * _SILENCE_RATIO),
+            order.route.target_latency,
         )
 
         def wait_on() -> float | None:
             now = self._clock()
-            if now - sent < patience * 1_000_000_000 * 0.9:
-                return patience
+            if now < sent + patience:
+                return ns_to_seconds(sent + patience - now)
             suspect_server(placement, choice.view, sent, now)
-            is_worth_it = (
-                order.route.repeatability is Repeatability.IDEMPOTENT
-                and progress.attempts < order.route.max_attempts
-                and order.deadline - now > typical * _REPEAT_RATIO
-            )
-            return None if is_worth_it else patience
+            if self._is_better_elsewhere(order, choice, progress, now):
+                return None
+            return ns_to_seconds(patience)
 
         return wait_on
 
+    def _is_better_elsewhere(
+        self,
+        order: Order,
+        choice: Choice,
+        progress: _Progress,
+        now: Nanoseconds,
+    ) -> bool:
+        """Tell whether a silent server is given up.
+
+        Work that is given up is lost, so this needs a free server that would
+        answer in time, and a repeat that the budget allows.
+        """
+        if (
+            order.route.repeatability is not Repeatability.IDEMPOTENT
+            or progress.attempts >= order.route.max_attempts
+            or self._state.is_stopping
+            or not can_spend(self._state.retries, order.service, now)
+        ):
+            return False
+        other = choose_server(
+            self._state.placement,
+            Wish(
+                order.service,
+                order.object_name,
+                order.regions,
+                frozenset((choice.view.server.name,)),
+            ),
+            now,
+        )
+        left = order.deadline - now
+        return (
+            other is not None
+            and other.wait == 0
+            and other.total * _REPEAT_RATIO < left
+        )
+
     def _check_repeat(
         self,
         order: Order,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
@@ -14,7 +14,11 @@
     SiteConfiguration,
 )
 from geraniumshelf_core.site.routing import build_table
-from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+from geraniumshelf_core.units import (
+    MILLISECOND_NS,
+    SECOND_NS,
+    Nanoseconds,
+)
 from geraniumshelf_daemon.edge.interface import EvacuatedZone, SiteView
 from geraniumshelf_daemon.edge.relay import RelayState
 from geraniumshelf_daemon.observability.events import Event, log_event
@@ -121,8 +125,14 @@
             service=server.service,
             zone=server.zone,
             draining=server.is_draining,
-            cold_left_ms=server.cold_left // 1_000_000,
         )
+        cold_for = self._placement.servers[server.name].cold_until - now
+        if cold_for > 0:
+            log_event(
+                Event.BACKEND_COLD,
+                server.name,
+                cold_for_ms=cold_for // MILLISECOND_NS,
+            )
 
     def _cold_time(self, service: str) -> Nanoseconds:
         table = self._state.table
--- /dev/null
+++ b/tests/core/admission/test_verdict.py
@@ -0,0 +1,40 @@
+"""Guards rejections under a load above the capacity."""
+
+from geraniumshelf_core.admission.verdict import Admitted, Rejected, judge
+from geraniumshelf_core.placement.state import Choice, ServerView
+from geraniumshelf_core.site.model import ListedServer
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS
+
+_VIEW = ServerView(ListedServer('s', 'desk', 'a:1', 'z', 2), 'r')
+_WORK = 100 * MILLISECOND_NS
+
+
+def _judge(wait: int, left: int, spread: float = 0.5) -> Admitted | Rejected:
+    return judge(Choice(_VIEW, wait, _WORK, 0), left, spread)
+
+
+def test_request_that_would_wait_past_its_deadline_is_rejected() -> None:
+    """It would use a slot and bring its caller nothing."""
+    assert isinstance(_judge(2 * SECOND_NS, SECOND_NS), Rejected)
+    assert isinstance(_judge(SECOND_NS // 10, SECOND_NS), Admitted)
+
+
+def test_request_without_a_queue_is_always_tried() -> None:
+    """Work is only expected; a slot is free, so trying costs no one."""
+    assert isinstance(_judge(0, _WORK // 2), Admitted)
+
+
+def test_returns_are_spread() -> None:
+    """Callers that were rejected together would come back together."""
+    times = set()
+    for step in range(10):
+        verdict = _judge(SECOND_NS, SECOND_NS, step / 10)
+        assert isinstance(verdict, Rejected)
+        times.add(verdict.retry_after)
+    assert len(times) == 10
+    assert min(times) >= SECOND_NS // 10
+
+
+def test_service_without_a_server_is_rejected_at_once() -> None:
+    """Waiting for a server that may never come helps nobody."""
+    assert isinstance(judge(None, SECOND_NS, 0.5), Rejected)
--- /dev/null
+++ b/tests/core/presence/test_presence.py
@@ -0,0 +1,84 @@
+"""Guards the directory's answers and the size of the fleet."""
+
+from geraniumshelf_core.presence.commands import (
+    forget_silent,
+    record_beat,
+    register_instance,
+)
+from geraniumshelf_core.presence.queries import (
+    beat_interval,
+    entry_addresses,
+    fleet_size,
+    region_size,
+    silence_limit,
+)
+from geraniumshelf_core.presence.state import Beat, PresenceState
+from geraniumshelf_core.units import SECOND_NS
+
+_REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+_CONTACT_AND_SLACK_NS = 6 * SECOND_NS
+
+
+def beat(
+    name: str, zone: str, sequence: int = 1, *, is_ready: bool = True
+) -> Beat:
+    return Beat(name, 1, sequence, zone, f'ip {name}', f'{name}:80', is_ready)
+
+
+def test_callers_get_the_entries_of_their_zone() -> None:
+    """Entries of other zones cost time and priced bytes."""
+    state = PresenceState('ip me')
+    for name, zone in (('n1', 'a1'), ('n2', 'a1'), ('n3', 'a2')):
+        record_beat(state, beat(name, zone), 0)
+    own = beat('me', 'b1')
+    assert entry_addresses(state, own, 'a1', _REGIONS) == ('n1:80', 'n2:80')
+
+
+def test_single_entry_of_a_zone_gets_neighbours_beside_it() -> None:
+    """With one address a caller has nowhere to go when it fails."""
+    state = PresenceState('ip me')
+    for name, zone in (('n1', 'a1'), ('n2', 'a1'), ('n3', 'a2')):
+        record_beat(state, beat(name, zone), 0)
+    found = entry_addresses(state, beat('me', 'b1'), 'a2', _REGIONS)
+    assert found == ('n1:80', 'n2:80', 'n3:80')
+
+
+def test_leaving_and_silent_daemons_are_left_out() -> None:
+    """Callers would be sent to a daemon that is gone."""
+    state = PresenceState('ip me')
+    record_beat(state, beat('n1', 'a1'), 0)
+    record_beat(state, beat('n2', 'a1'), 0)
+    record_beat(state, beat('n2', 'a1', 2, is_ready=False), 1)
+    own = beat('me', 'a1')
+    assert entry_addresses(state, own, 'a1', _REGIONS) == ('me:80', 'n1:80')
+    assert forget_silent(state, 1) == ('n1',)
+    assert entry_addresses(state, own, 'a1', _REGIONS) == ('me:80',)
+
+
+def test_overtaken_beat_changes_nothing() -> None:
+    """A late datagram would bring a leaving daemon back."""
+    state = PresenceState('ip me')
+    record_beat(state, beat('n1', 'a1', 2, is_ready=False), 5)
+    record_beat(state, beat('n1', 'a1', 1), 6)
+    assert not state.neighbours['n1'].beat.is_ready
+
+
+def test_limits_are_divided_by_all_registered_daemons() -> None:
+    """A dead daemon may come back any moment and use its share."""
+    state = PresenceState('ip me')
+    register_instance(state, 'me', 'a1', 'ip me')
+    assert fleet_size(state) >= 100
+    state.is_complete = True
+    register_instance(state, 'n1', 'a2', 'ip n1')
+    register_instance(state, 'n2', 'b1', 'ip n2')
+    assert fleet_size(state) == 3
+    assert region_size(state, 'a', _REGIONS) == 2
+
+
+def test_silent_daemon_is_left_out_in_time_at_any_fleet_size() -> None:
+    """Longer intervals of a large fleet must not keep dead daemons."""
+    state = PresenceState('ip me')
+    for number in range(500):
+        register_instance(state, f'n{number}', 'a1', f'ip {number}')
+        limit = silence_limit(state) + beat_interval(state)
+        assert limit <= _CONTACT_AND_SLACK_NS + 3 * SECOND_NS
--- /dev/null
+++ b/tests/core/shares/test_quotas.py
@@ -0,0 +1,121 @@
+"""Guards the sum of what all daemons admit for one account."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from geraniumshelf_core.shares.loans import TERM_NS, wanted_loans
+from geraniumshelf_core.shares.quotas import (
+    Quotas,
+    admit,
+    borrow_share,
+    divide_quotas,
+    lend_share,
+    measure_needs,
+)
+from geraniumshelf_core.site.model import SiteAccount
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS
+
+_DAEMONS = 4
+_RATE = 40.0
+_BURST = 30.0
+_OVERSHOOT = 0.1
+_SLACK = 20.0
+_WINDOW_S = 5
+_STEP_NS = 50 * MILLISECOND_NS
+_ACCOUNT = SiteAccount('shop', ('k',), _RATE, _BURST)
+_LIMIT = (_RATE * _WINDOW_S + _BURST) * (1 + _OVERSHOOT) + _SLACK
+
+
+def _quotas(now: int) -> Quotas:
+    quotas = Quotas(_OVERSHOOT, _SLACK)
+    divide_quotas(quotas, [_ACCOUNT], _DAEMONS, now)
+    return quotas
+
+
+def _ask(fleet: list[Quotas], asker: int, lost: set[int], now: int) -> None:
+    wanted = wanted_loans(measure_needs(fleet[asker], now), _DAEMONS - 1)
+    for lender, quotas in enumerate(fleet):
+        for name, part in wanted.items():
+            if lender == asker:
+                continue
+            lent = lend_share(quotas, name, str(asker), part, now)
+            # The answer may be lost after the lender gave its share away.
+            if lent and lender not in lost:
+                borrow_share(fleet[asker], name, str(lender), lent, now)
+
+
+def _most_in_window(times: list[int]) -> int:
+    width = _WINDOW_S * SECOND_NS
+    return max(
+        (sum(start <= at <= start + width for at in times) for start in times),
+        default=0,
+    )
+
+
+@settings(max_examples=25, deadline=None)
+@given(
+    load=st.lists(
+        st.tuples(
+            st.integers(0, _DAEMONS - 1),
+            st.integers(0, 6),
+            st.sets(st.integers(0, _DAEMONS - 1)),
+            st.booleans(),
+        ),
+        min_size=60,
+        max_size=160,
+    )
+)
+def test_sum_of_all_daemons_stays_within_the_limit(
+    load: list[tuple[int, int, set[int], bool]],
+) -> None:
+    """Loans, lost answers and restarts must not add to an account's rate."""
+    now = 0
+    fleet = [_quotas(now) for _ in range(_DAEMONS)]
+    admitted: list[int] = []
+    for daemon, requests, lost, restarts in load:
+        now += _STEP_NS
+        if restarts and requests == 0:
+            # A restart takes longer than the terms that are open.
+            now += 2 * TERM_NS
+            fleet[daemon] = _quotas(now)
+        _ask(fleet, daemon, lost, now)
+        admitted.extend(
+            now
+            for _ in range(requests * 5)
+            if admit(fleet[daemon], 'shop', now)
+        )
+    assert _most_in_window(admitted) <= _LIMIT
+
+
+def test_one_daemon_gets_most_of_a_rate_that_no_other_uses() -> None:
+    """An even split refuses callers of one zone although rate is left."""
+    fleet = [_quotas(0) for _ in range(_DAEMONS)]
+    served = 0
+    steps = 20 * SECOND_NS // _STEP_NS
+    for step in range(1, steps):
+        now = step * _STEP_NS
+        if step % 10 == 0:
+            for asker in range(_DAEMONS):
+                _ask(fleet, asker, set(), now)
+        served += sum(admit(fleet[0], 'shop', now) for _ in range(2))
+    assert served >= 0.7 * _RATE * 20
+
+
+def test_lender_counts_a_loan_longer_than_the_borrower() -> None:
+    """If the lender stopped first, both would use the share for a while."""
+    lender, borrower = _quotas(0), _quotas(0)
+    asked_at = SECOND_NS
+    lent = lend_share(lender, 'shop', 'b', 0.5, asked_at)
+    borrow_share(borrower, 'shop', 'l', lent, asked_at)
+    share = borrower.shares['shop']
+    admit(lender, 'shop', asked_at + TERM_NS)
+    admit(borrower, 'shop', asked_at + TERM_NS)
+    assert lender.shares['shop'].bucket.rate < share.rate
+    assert share.bucket.rate == share.rate
+
+
+def test_account_without_a_limit_is_always_admitted() -> None:
+    """A rate of 0 stands for no limit, not for none at all."""
+    quotas = Quotas(_OVERSHOOT, _SLACK)
+    divide_quotas(quotas, [SiteAccount('free', ('k',))], 9, 0)
+    assert all(admit(quotas, 'free', 0) for _ in range(1000))
--- /dev/null
+++ b/tests/core/shares/test_retries.py
@@ -0,0 +1,59 @@
+"""Guards the retry budget of a service over all daemons."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from geraniumshelf_core.shares.division import cold_limit, whole_share
+from geraniumshelf_core.shares.retries import (
+    RetryShares,
+    earn,
+    share_slack,
+    spend,
+)
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS
+
+_RATIO = 0.2
+_SLACK = 58.0
+_WINDOW_S = 10
+_DAEMONS = 3
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    load=st.lists(
+        st.tuples(st.integers(0, 3), st.integers(0, 12)),
+        min_size=100,
+        max_size=250,
+    )
+)
+def test_repeats_stay_within_the_budget(load: list[tuple[int, int]]) -> None:
+    """Servers that shed all requests must not get them all again."""
+    fleet = []
+    for _ in range(_DAEMONS):
+        shares = RetryShares(_RATIO, _SLACK, _WINDOW_S)
+        share_slack(shares, _DAEMONS, 0)
+        fleet.append(shares)
+    requests: list[int] = []
+    repeats: list[int] = []
+    for step, (first, again) in enumerate(load):
+        now = step * 200 * MILLISECOND_NS
+        for shares in fleet:
+            for _ in range(first):
+                earn(shares, 'desk', now)
+                requests.append(now)
+            repeats.extend(
+                now for _ in range(again) if spend(shares, 'desk', now)
+            )
+    width = _WINDOW_S * SECOND_NS
+    for end in {*repeats}:
+        window = range(end - width, end + 1)
+        asked = sum(at in window for at in requests)
+        sent = sum(at in window for at in repeats)
+        assert sent <= _RATIO * asked + _SLACK
+
+
+def test_cold_shares_add_up_to_the_limit_at_most() -> None:
+    """The daemons of a region send what the bound allows, together."""
+    limit = cold_limit(15, 1.5, 5)
+    for daemons in range(1, 40):
+        assert daemons * whole_share(limit, daemons) <= limit
--- /dev/null
+++ b/tests/core/site/test_routing.py
@@ -0,0 +1,75 @@
+"""Guards routes, keys and weights of a site."""
+
+from collections import Counter
+
+from geraniumshelf_core.site.model import (
+    CallerLimits,
+    Destination,
+    Repeatability,
+    SiteAccount,
+    SiteConfiguration,
+    SiteRoute,
+)
+from geraniumshelf_core.site.routing import (
+    allowed_regions,
+    build_table,
+    choose_destination,
+    find_route,
+    fraction_of,
+    normalized_host,
+)
+from geraniumshelf_core.units import SECOND_NS
+
+
+def make_route(prefix: str, **fields: object) -> SiteRoute:
+    return SiteRoute(
+        prefix,
+        prefix,
+        Repeatability.IDEMPOTENT,
+        SECOND_NS,
+        SECOND_NS,
+        2,
+        1,
+        (Destination('desk', 1),),
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+def test_longest_prefix_wins() -> None:
+    """A request must not run at the service of a shorter prefix."""
+    configuration = SiteConfiguration(
+        1,
+        {'shop.example': (make_route('/a/'), make_route('/a/b/'))},
+        {},
+        {},
+        CallerLimits(1, 1, 1),
+    )
+    table = build_table(configuration)
+    found = find_route(table, 'shop.example', '/a/b/c')
+    assert found is not None
+    assert found.prefix == '/a/b/'
+    assert find_route(table, 'shop.example', '/b/') is None
+    assert find_route(table, 'other.example', '/a/') is None
+
+
+def test_host_is_compared_without_port_and_case() -> None:
+    """A caller may write the host of a route in either form."""
+    assert normalized_host(' Shop.Example:80') == 'shop.example'
+
+
+def test_weights_are_kept() -> None:
+    """Each part of a split gets its share of the requests."""
+    parts = (Destination('a', 90), Destination('b', 10))
+    counts = Counter(
+        choose_destination(parts, fraction_of(f'request {number}')).service
+        for number in range(5000)
+    )
+    assert 0.08 < counts['b'] / 5000 < 0.12
+
+
+def test_homes_of_route_and_account_both_bind() -> None:
+    """Either alone would let a request run where the other forbids it."""
+    account = SiteAccount('shop', ('k',), regions=frozenset({'a', 'b'}))
+    route = make_route('/a/', regions=frozenset({'b', 'c'}))
+    assert allowed_regions(route, account) == {'b'}
+    assert allowed_regions(make_route('/a/'), None) is None
--- a/tests/daemon/observability/test_catalogues.py
+++ b/tests/daemon/observability/test_catalogues.py
@@ -61,7 +61,8 @@
     catalogues = {'errors.py', 'refusal.py', 'events.py', 'metric_names.py'}
     sources = '\n'.join(
         path.read_text(encoding='utf-8')
-        for path in (_DOCS.parent / 'packages').rglob('*.py')
+        for folder in ('packages', 'platform')
+        for path in (_DOCS.parent / folder).rglob('*.py')
         if path.name not in catalogues
     )
     names = [
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,118 @@
+"""Guards what passes between callers and backend servers."""
+
+import pytest
+from geraniumshelf_platform.headers import PlatformHeaders
+from hypothesis import given
+from hypothesis import strategies as st
+from tornado.httputil import HTTPHeaders
+
+from geraniumshelf_core.errors import RequestRefused
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS
+from geraniumshelf_daemon.edge.interface import (
+    ForwardedFields,
+    ReportedLoad,
+)
+
+_CODEC = PlatformHeaders()
+_FIELDS = ForwardedFields('i-1', 'shop', 1500 * MILLISECOND_NS)
+
+
+def _headers(*pairs: tuple[str, str]) -> HTTPHeaders:
+    headers = HTTPHeaders()
+    for name, text in pairs:
+        headers.add(name, text)
+    return headers
+
+
+def test_request_is_read() -> None:
+    """Each field decides where and whether a request runs."""
+    fields = _CODEC.read_request(
+        _headers(
+            ('X-Request-Id', 'r1'),
+            ('X-Api-Key', 'secret'),
+            ('Cookie', 'a=b; X-Affinity-Key=17'),
+            ('X-Deadline-Ms', '2000'),
+        )
+    )
+    assert fields.request_id == 'r1'
+    assert fields.key == 'secret'
+    assert fields.object_name == '17'
+    assert fields.time_allowed == 2 * SECOND_NS
+    assert 'secret' not in repr(fields)
+
+
+def test_request_with_two_keys_is_malformed() -> None:
+    """Two readers could take it for requests of two accounts."""
+    headers = _headers(('X-Api-Key', 'one'), ('X-Api-Key', 'two'))
+    with pytest.raises(RequestRefused):
+        _CODEC.read_request(headers)
+
+
+@given(text=st.text(alphabet='0123456789.-+einfa', max_size=12))
+def test_odd_deadlines_never_fail(text: str) -> None:
+    """A header that can't be read must not end the request."""
+    found = _CODEC.read_request(_headers(('X-Deadline-Ms', text)))
+    assert found.time_allowed is None or found.time_allowed >= 0
+
+
+def test_key_is_not_passed_on_under_any_name() -> None:
+    """A backend server must never see a caller's key."""
+    sent = _CODEC.write_request(
+        _headers(
+            ('X-Api-Key', 'secret'),
+            ('x_api_key', 'secret'),
+            ('X-Other', 'has secret inside'),
+            ('Accept', 'text/plain'),
+        ),
+        'secret',
+        _FIELDS,
+    )
+    assert 'secret' not in str(dict(sent.get_all()))
+    assert sent['Accept'] == 'text/plain'
+
+
+def test_account_is_set_whatever_the_caller_sent() -> None:
+    """A caller could choose the account that its request runs for."""
+    headers = _headers(('X-Tenant', 'other'), ('x-tenant', 'other'))
+    assert _CODEC.write_request(headers, '', _FIELDS).get_list('X-Tenant') == [
+        'shop'
+    ]
+    nobody = ForwardedFields('i-1', '', SECOND_NS)
+    assert 'X-Tenant' not in _CODEC.write_request(headers, '', nobody)
+
+
+def test_time_left_and_server_are_set() -> None:
+    """A server works no longer than this, and only if it is meant."""
+    sent = _CODEC.write_request(
+        _headers(('X-Deadline-Ms', '9000'), ('X-Expect-Instance', 'i-9')),
+        '',
+        _FIELDS,
+    )
+    assert sent['X-Deadline-Ms'] == '1500'
+    assert sent['X-Expect-Instance'] == 'i-1'
+
+
+def test_answer_is_read() -> None:
+    """Only these headers say that a request has not run."""
+    shed = _CODEC.read_answer(503, _headers(('X-Not-Executed', '1')))
+    assert shed.is_not_run
+    moved = _CODEC.read_answer(421, _headers())
+    assert moved.is_not_run
+    assert moved.is_misdirected
+    plain = _CODEC.read_answer(
+        503, _headers(('X-Server-Load', '3,1,8'), ('X-Request-Id', 'r1'))
+    )
+    assert not plain.is_not_run
+    assert plain.load == ReportedLoad(3, 1)
+    assert (
+        _CODEC.read_answer(200, _headers(('X-Server-Load', 'x'))).load is None
+    )
+
+
+def test_health_is_read() -> None:
+    """A server that is cold again says so only there."""
+    found = _CODEC.read_health(
+        _headers(('X-Instance-Id', 'i-1'), ('X-Cold-Ms', '250'))
+    )
+    assert found.server_name == 'i-1'
+    assert found.cold_left == 250 * MILLISECOND_NS
--- /dev/null
+++ b/tests/platform/world.py
@@ -0,0 +1,270 @@
+"""A daemon behind the adapter, with stand-ins, in this process."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Any
+
+from attrs import define, evolve, field
+from geraniumshelf_platform.headers import PlatformHeaders
+from geraniumshelf_platform.store import ObjectStore
+from tests.platform.server_standin import ServerStandin
+from tests.platform.store_standin import StoreStandin
+
+from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_daemon.edge.daemon import EdgeDaemon
+from geraniumshelf_daemon.edge.settings import EdgeBounds, EdgeSettings
+
+BOUND_S = 15.0
+HOST = 'shop.example'
+ZONES = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+BOUNDS = EdgeBounds(
+    contact=3 * SECOND_NS,
+    grace=4 * SECOND_NS,
+    retry_ratio=0.2,
+    retry_slack=100,
+    retry_window=10 * SECOND_NS,
+    quota_overshoot=0.1,
+    quota_slack=20,
+    cold_overshoot=1.5,
+    cold_slack=5,
+    longest_ttl=5 * SECOND_NS,
+    largest_shift=0.15,
+)
+
+
+def make_path(prefix: str, kind: str = 'safe', **fields: Any) -> dict[str, Any]:
+    """Return a route to the service ``desk``."""
+    return {
+        'name': f'r{prefix}',
+        'path_prefix': prefix,
+        'kind': kind,
+        'timeout_s': 2,
+        'target_latency_s': 0.3,
+        'priority': 1,
+        'service': 'desk',
+        'max_attempts': 2,
+        'public': False,
+        'session_affinity': True,
+        'allowed_regions': [],
+        **fields,
+    }
+
+
+def make_configuration(version: int = 1, **fields: Any) -> dict[str, Any]:
+    """Return a configuration with one route of each kind."""
+    return {
+        'version': version,
+        'services': [
+            {
+                'name': 'desk',
+                'health_path': '/health',
+                'max_conns': 300,
+                'cold_start_s': 1.0,
+                'cold_per_s': 15.0,
+            }
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 1000000,
+            'header_timeout_s': 3,
+            'idle_timeout_s': 15,
+        },
+        'tenants': [
+            {
+                'name': 'shop',
+                'api_keys': ['key'],
+                'rate_per_s': 0,
+                'burst': 0,
+                'allowed_regions': [],
+            }
+        ],
+        'hosts': [
+            {
+                'host': HOST,
+                'paths': [
+                    make_path('/read/'),
+                    make_path('/sale/', 'unsafe'),
+                    make_path('/photo/', 'upload'),
+                    make_path('/open/', public=True),
+                ],
+            }
+        ],
+        **fields,
+    }
+
+
+@define
+class Answered:
+    """An answer as a caller gets it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@define(eq=False)
+class CallerStandin:
+    """One connection of a caller."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    def send(
+        self, target: str, method: str = 'GET', body: bytes = b'', **more: str
+    ) -> None:
+        """Send a request; further headers replace the usual ones."""
+        headers = {
+            'Host': HOST,
+            'X-Request-Id': f'id-{target}',
+            'X-Deadline-Ms': '2000',
+            'X-Api-Key': 'key',
+            **{name.replace('_', '-'): text for name, text in more.items()},
+        }
+        if body:
+            headers['Content-Length'] = str(len(body))
+        lines = [f'{method} {target} HTTP/1.1']
+        lines.extend(f'{name}: {text}' for name, text in headers.items())
+        self.writer.write('\r\n'.join((*lines, '', '')).encode() + body)
+
+    async def receive(self) -> Answered:
+        """Return the next answer."""
+        async with asyncio.timeout(BOUND_S):
+            head = (await self.reader.readuntil(b'\r\n\r\n')).decode('latin1')
+            first, *lines = head.strip().split('\r\n')
+            headers = {}
+            for line in lines:
+                name, _, text = line.partition(':')
+                headers[name.lower()] = text.strip()
+            length = int(headers.get('content-length', 0))
+            body = await self.reader.readexactly(length)
+            return Answered(int(first.split(' ')[1]), headers, body)
+
+    async def ask(self, target: str, **fields: Any) -> Answered:
+        """Send a request and return its answer."""
+        self.send(target, **fields)
+        return await self.receive()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.writer.close()
+
+
+@define(eq=False)
+class World:
+    """The store, the servers and the daemon."""
+
+    store: StoreStandin
+    servers: dict[str, ServerStandin]
+    daemon: EdgeDaemon
+    settings: EdgeSettings
+    callers: list[CallerStandin] = field(factory=list)
+
+    async def connect(self) -> CallerStandin:
+        """Return a new connection of a caller."""
+        return await self._connect(self.settings.front_address)
+
+    async def look_up(self, target: str) -> Answered:
+        """Ask the directory."""
+        caller = await self._connect(self.settings.directory_address)
+        return await caller.ask(target)
+
+    async def check_ready(self) -> int:
+        """Return the status of the platform's check."""
+        caller = await self._connect(self.settings.ready_address)
+        return (await caller.ask('/ready')).status
+
+    async def until(self, condition: Callable[[], Awaitable[bool]]) -> None:
+        """Wait for a condition."""
+        async with asyncio.timeout(BOUND_S):
+            while not await condition():
+                await asyncio.sleep(0.02)
+
+    async def until_ready(self) -> None:
+        """Wait until the daemon takes callers."""
+
+        async def is_ready() -> bool:
+            return await self.check_ready() == 200
+
+        await self.until(is_ready)
+
+    async def _connect(self, address: str) -> CallerStandin:
+        host, _, port = address.rpartition(':')
+        async with asyncio.timeout(BOUND_S):
+            caller = CallerStandin(
+                *await asyncio.open_connection(host, int(port))
+            )
+        self.callers.append(caller)
+        return caller
+
+
+@asynccontextmanager
+async def make_world(
+    servers: dict[str, ServerStandin],
+    configuration: dict[str, Any] | None = None,
+    zone_of: Callable[[str], str] = lambda _: 'a1',
+) -> AsyncIterator[World]:
+    """Run a daemon with servers that are listed under their names."""
+    store = StoreStandin()
+    store_address = store.listen()
+    for name, server in servers.items():
+        await server.listen()
+        store.put('servers', name, server.entry('desk', zone_of(name)))
+    if configuration is not None:
+        store.put('config', 'main', configuration)
+    settings = _settings(store_address)
+    daemon = EdgeDaemon(
+        settings,
+        ObjectStore(store_address, '127.0.0.1'),
+        PlatformHeaders(),
+        random=Random(1),
+    )
+    await daemon.start()
+    world = World(store, servers, daemon, settings)
+    try:
+        if configuration is not None:
+            await world.until_ready()
+        yield world
+    finally:
+        for caller in world.callers:
+            caller.close()
+        await daemon.close()
+        for server in servers.values():
+            server.close()
+        await store.close()
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Run a scenario to its end."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(3 * BOUND_S):
+            await scenario()
+
+    asyncio.run(bounded())
+
+
+def _settings(store_address: str) -> EdgeSettings:
+    ports = [_free_port() for _ in range(4)]
+    return EdgeSettings(
+        name='n1',
+        zone='a1',
+        regions=ZONES,
+        ip='127.0.0.1',
+        front_address=f'127.0.0.1:{ports[0]}',
+        ready_address=f'127.0.0.1:{ports[1]}',
+        directory_address=f'127.0.0.1:{ports[2]}',
+        peer_port=ports[3],
+        seeds=(),
+        store_address=store_address,
+        bounds=evolve(BOUNDS),
+    )
+
+
+def _free_port() -> int:
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
