Wait only while the answer can be on time

Ruled out: processor time and quotas. Change: a request waits for a slot only as long as its answer can be on time, or for one turn of the slots; the others are rejected at once with a spread return.

--- a/packages/core/src/geraniumshelf_core/admission/verdict.py
+++ b/packages/core/src/geraniumshelf_core/admission/verdict.py
@@ -1,8 +1,10 @@
 """Decides whether a request is sent to a server, and when to come back.
 
-Answers a load above the capacity of a service: a request that would only wait
-past its deadline is rejected at once, and the returns are spread so that they
-don't arrive together.
+Answers a load above the capacity of a service. A queue that grows to the
+deadline makes every answer late, while slots stay as busy as with a short one;
+so a request waits only as long as it can still be on time, or for one turn of
+the slots. The others are rejected at once, and their returns are spread so that
+they don't arrive together.
 """
 
 from typing import Final
@@ -38,18 +40,24 @@
 
 
 def judge(
-    choice: Choice | None, time_left: Nanoseconds, spread: float
+    choice: Choice | None,
+    target: Nanoseconds,
+    time_left: Nanoseconds,
+    spread: float,
 ) -> Admitted | Rejected:
     """Return whether a request is sent.
 
     Args:
         choice: The server that would get it, ``None`` if there is none.
+        target: Time within which its answer is on time.
         time_left: Time until its deadline.
         spread: Random number from 0 to 1 that spreads the returns.
     """
     if choice is None:
         return Rejected(_return_time(SECOND_NS, spread))
-    if choice.wait and choice.total > _USABLE_PART * time_left:
+    longest = max(target - choice.work - choice.travel, choice.turn)
+    is_hopeless = choice.total > _USABLE_PART * time_left
+    if choice.wait and (choice.wait > longest or is_hopeless):
         return Rejected(_return_time(choice.wait, spread))
     return Admitted(choice)
 
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -137,6 +137,7 @@
         round(queued * usual.warm * factor / slots),
         round((usual.warm if is_warm else usual.cold) * factor),
         _travel(state, view),
+        round(usual.warm),
     )
 
 
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -140,12 +140,14 @@
         wait: Expected time until the server begins to work on it.
         work: Expected time of the work.
         travel: Time on the way to the server and back.
+        turn: Usual time until all its slots have turned over once.
     """
 
     view: ServerView
     wait: Nanoseconds
     work: Nanoseconds
     travel: Nanoseconds
+    turn: Nanoseconds = 0
 
     @property
     def total(self) -> Nanoseconds:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -186,7 +186,12 @@
         now = self._clock()
         wish = Wish(order.service, order.object_name, order.regions, excluded)
         choice = choose_server(self._state.placement, wish, now)
-        verdict = judge(choice, order.deadline - now, self._random.random())
+        verdict = judge(
+            choice,
+            order.arrived + order.route.target_latency - now,
+            order.deadline - now,
+            self._random.random(),
+        )
         match verdict:
             case Admitted(admitted):
                 return admitted
--- a/tests/core/admission/test_verdict.py
+++ b/tests/core/admission/test_verdict.py
@@ -9,8 +9,10 @@
 _WORK = 100 * MILLISECOND_NS
 
 
-def _judge(wait: int, left: int, spread: float = 0.5) -> Admitted | Rejected:
-    return judge(Choice(_VIEW, wait, _WORK, 0), left, spread)
+def _judge(
+    wait: int, left: int, spread: float = 0.5, target: int = SECOND_NS
+) -> Admitted | Rejected:
+    return judge(Choice(_VIEW, wait, _WORK, 0, _WORK), target, left, spread)
 
 
 def test_request_that_would_wait_past_its_deadline_is_rejected() -> None:
@@ -19,6 +21,19 @@
     assert isinstance(_judge(SECOND_NS // 10, SECOND_NS), Admitted)
 
 
+def test_queue_that_makes_all_answers_late_is_not_entered() -> None:
+    """Slots would serve only late answers for as long as the queue lasts."""
+    target = 3 * _WORK
+    assert isinstance(_judge(2 * _WORK, SECOND_NS, target=target), Admitted)
+    assert isinstance(_judge(3 * _WORK, SECOND_NS, target=target), Rejected)
+
+
+def test_late_request_still_waits_one_turn() -> None:
+    """With a short queue a late answer costs nobody else his."""
+    assert isinstance(_judge(_WORK, SECOND_NS, target=0), Admitted)
+    assert isinstance(_judge(2 * _WORK, SECOND_NS, target=0), Rejected)
+
+
 def test_request_without_a_queue_is_always_tried() -> None:
     """Work is only expected; a slot is free, so trying costs no one."""
     assert isinstance(_judge(0, _WORK // 2), Admitted)
@@ -37,4 +52,4 @@
 
 def test_service_without_a_server_is_rejected_at_once() -> None:
     """Waiting for a server that may never come helps nobody."""
-    assert isinstance(judge(None, SECOND_NS, 0.5), Rejected)
+    assert isinstance(judge(None, SECOND_NS, SECOND_NS, 0.5), Rejected)
