Serve counters and histograms as text; test the life of a daemon on the platform

The metrics address of the deploy file is served by each daemon. Process tests run the program with its settings file, signals, store outages and forgotten history through the adapter and stand-ins of the store and the servers.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -25,7 +25,11 @@
     ns_to_seconds,
 )
 from geraniumshelf_daemon.edge.attempt import AttemptTools
-from geraniumshelf_daemon.edge.directory import Directory, ReadyCheck
+from geraniumshelf_daemon.edge.directory import (
+    Directory,
+    MetricsPage,
+    ReadyCheck,
+)
 from geraniumshelf_daemon.edge.interface import (
     HeaderCodec,
     SiteKind,
@@ -45,6 +49,8 @@
 from geraniumshelf_daemon.edge.watching import Watcher
 from geraniumshelf_daemon.front.server import FrontServer
 from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.observability.exposition import Exposition
+from geraniumshelf_daemon.observability.metrics import install_metrics
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 
 _TICK_S: Final = 0.25
@@ -131,6 +137,11 @@
         self._ready = FrontServer(
             ReadyCheck(self._is_ready).serve, _IDLE_TIMEOUT_S
         )
+        exposition = Exposition()
+        install_metrics(exposition)
+        self._metrics = FrontServer(
+            MetricsPage(exposition).serve, _IDLE_TIMEOUT_S
+        )
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -145,6 +156,7 @@
             (self._ready, settings.ready_address),
             (self._front, settings.front_address),
             (self._directory, settings.directory_address),
+            (self._metrics, settings.metrics_address),
         ):
             if address:
                 host, _, port = address.rpartition(':')
@@ -218,8 +230,14 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for server in (self._front, self._directory, self._ready):
+        for server in (
+            self._front,
+            self._directory,
+            self._ready,
+            self._metrics,
+        ):
             await server.close()
+        install_metrics(None)
         self._heartbeats.close()
         self._pool.close()
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/directory.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/directory.py
@@ -1,4 +1,4 @@
-"""Answers callers that ask for entry instances, and the platform's checks."""
+"""Answers look-ups of callers, checks of the platform and collectors."""
 
 import json
 from collections.abc import Callable, Mapping
@@ -13,6 +13,7 @@
 from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.front.refusal import refusal_body
+from geraniumshelf_daemon.observability.exposition import Exposition
 from geraniumshelf_daemon.observability.metric_names import Metric
 from geraniumshelf_daemon.observability.metrics import count_metric
 
@@ -81,8 +82,25 @@
         )
 
 
+class MetricsPage:
+    """Serves counters and histograms."""
+
+    def __init__(self, exposition: Exposition) -> None:
+        self._exposition = exposition
+
+    async def serve(self, caller: Caller) -> None:
+        """Answer a collector."""
+        body = self._exposition.render().encode()
+        headers = _headers(body, 'text/plain; version=0.0.4')
+        await caller.reply.answer(_OK, 'OK', headers, body)
+
+
 def _json_headers(body: bytes) -> HTTPHeaders:
+    return _headers(body, 'application/json')
+
+
+def _headers(body: bytes, kind: str) -> HTTPHeaders:
     headers = HTTPHeaders()
-    headers['Content-Type'] = 'application/json'
+    headers['Content-Type'] = kind
     headers['Content-Length'] = str(len(body))
     return headers
--- a/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
@@ -54,6 +54,8 @@
             they don't.
         peer_port: Port for heartbeats of other daemons.
         seeds: IP addresses of instances that may know the others.
+        metrics_address: Where a collector asks for metrics; empty if none
+            does.
         store_address: Address of the platform's store.
         bounds: Bounds that hold there.
     """
@@ -67,6 +69,7 @@
     directory_address: str
     peer_port: int
     seeds: tuple[str, ...]
+    metrics_address: str
     store_address: str
     bounds: EdgeBounds = field(repr=False)
 
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metrics.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metrics.py
@@ -1,6 +1,6 @@
 """Metrics over UDP in the statsd protocol."""
 
-from typing import Any
+from typing import Any, Protocol
 
 from statsd import StatsClient
 
@@ -8,6 +8,19 @@
 from geraniumshelf_daemon.observability.metric_names import Metric
 
 
+class MetricSink(Protocol):
+    """Takes metrics."""
+
+    def count(self, metric: Metric, amount: int = 1) -> None:
+        """Add to a counter."""
+
+    def gauge(self, metric: Metric, level: float) -> None:
+        """Set a gauge."""
+
+    def timing(self, metric: Metric, duration: Nanoseconds) -> None:
+        """Record a duration."""
+
+
 class Metrics:
     """Sends metrics; does nothing when no address is set."""
 
@@ -48,10 +61,10 @@
 
 
 # At most one: the metrics of this process.
-_installed: list[Metrics] = []
+_installed: list[MetricSink] = []
 
 
-def install_metrics(metrics: Metrics | None) -> None:
+def install_metrics(metrics: MetricSink | None) -> None:
     """Send later metrics there; ``None`` ends sending."""
     _installed.clear()
     if metrics is not None:
--- /dev/null
+++ b/tests/platform/test_life.py
@@ -0,0 +1,280 @@
+"""Guards start, store outages, changes and the stop of a daemon."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from tests.platform.server_standin import ServerStandin
+from tests.platform.store_standin import Mood
+from tests.platform.test_settings import SETTINGS, _write
+from tests.platform.world import (
+    World,
+    make_configuration,
+    make_path,
+    make_world,
+    run,
+)
+
+from geraniumshelf_daemon.edge.reloading import SettingsFile
+from geraniumshelf_daemon.edge.settings import EdgeSettings
+from geraniumshelf_platform.settings import read_settings
+
+_ROOT = Path(__file__).parents[2]
+
+
+async def _status(world: World, target: str) -> int:
+    caller = await world.connect()
+    return (await caller.ask(target)).status
+
+
+def test_newer_configuration_comes_into_force_and_older_never() -> None:
+    """A route that was dropped must not come back from an old answer."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1')}
+        async with make_world(servers, make_configuration(5)) as world:
+            routes = {'host': 'shop.example', 'paths': [make_path('/new/')]}
+            newer = make_configuration(6, hosts=[routes])
+            world.store.put('config', 'main', newer)
+
+            async def is_new() -> bool:
+                return await _status(world, '/new/x') == 200
+
+            await world.until(is_new)
+            world.store.put('config', 'main', make_configuration(5))
+            world.store.put('servers', 'odd', {'state': 'unknown'})
+            await asyncio.sleep(0.8)
+            assert await _status(world, '/read/x') == 404
+            assert await _status(world, '/new/x') == 200
+
+    run(scenario)
+
+
+def test_draining_and_removed_servers_get_nothing_new() -> None:
+    """A request that reaches a server as it ends is lost."""
+
+    async def scenario() -> None:
+        servers = {name: ServerStandin(name) for name in ('i-1', 'i-2', 'i-3')}
+        async with make_world(servers, make_configuration()) as world:
+            draining = servers['i-1'].entry('desk', 'a1', state='draining')
+            world.store.put('servers', 'i-1', draining)
+            world.store.remove('servers', 'i-2')
+            await asyncio.sleep(0.8)
+            for server in servers.values():
+                server.received.clear()
+            for number in range(20):
+                assert await _status(world, f'/read/{number}') == 200
+            assert len(servers['i-3'].received) == 20
+
+    run(scenario)
+
+
+def test_forgotten_history_leads_to_a_new_list() -> None:
+    """A change in the gap would be missed for good."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1'), 'i-2': ServerStandin('i-2')}
+        async with make_world(servers, make_configuration()) as world:
+            world.store.remove('servers', 'i-1')
+            world.store.compact()
+
+            async def has_left() -> bool:
+                servers['i-1'].received.clear()
+                for number in range(10):
+                    await _status(world, f'/read/{number}')
+                return not servers['i-1'].received
+
+            await world.until(has_left)
+
+    run(scenario)
+
+
+def test_outage_of_the_store_changes_nothing_for_callers() -> None:
+    """A zone that is cut off from the store goes on serving."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1')}
+        async with make_world(servers, make_configuration()) as world:
+            for mood in (Mood.BUSY, Mood.RESET, Mood.SILENT):
+                world.store.mood = mood
+                await asyncio.sleep(0.3)
+                assert await _status(world, '/read/x') == 200
+                assert await world.check_ready() == 200
+
+    run(scenario)
+
+
+def test_entries_that_lapsed_in_an_outage_have_time_to_come_back() -> None:
+    """Live servers would get nothing although they serve."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1')}
+        async with make_world(servers, make_configuration()) as world:
+            world.store.mood = Mood.BUSY
+            world.store.remove('servers', 'i-1')
+            world.store.compact()
+            await asyncio.sleep(1)
+            world.store.mood = Mood.SOUND
+            await asyncio.sleep(1.2)
+            assert await _status(world, '/read/x') == 200
+
+            async def is_gone() -> bool:
+                return await _status(world, '/read/x') == 503
+
+            await world.until(is_gone)
+
+    run(scenario)
+
+
+def test_daemon_registers_once() -> None:
+    """The others divide limits by the number of registered instances."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1')}
+        async with make_world(servers, make_configuration()) as world:
+
+            async def is_registered() -> bool:
+                return 'n1' in world.store.specs('geraniumshelf-instances')
+
+            await world.until(is_registered)
+            posts = [one for one in world.store.calls if 'POST' in one]
+            assert len(posts) == 1
+
+    run(scenario)
+
+
+def test_stop_leaves_the_directory_and_finishes_requests() -> None:
+    """A planned stop must cut no request."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1', work_s=1.0)}
+        async with make_world(servers, make_configuration()) as world:
+            caller = await world.connect()
+            caller.send('/sale/x', method='POST')
+            while not servers['i-1'].received:
+                await asyncio.sleep(0.01)
+            world.daemon.begin_stop()
+            stopping = asyncio.ensure_future(world.daemon.stop())
+            assert await world.check_ready() == 503
+            answer = await caller.receive()
+            assert answer.status == 200
+            await stopping
+
+    run(scenario)
+
+
+def test_metrics_count_requests() -> None:
+    """Without the service's own figures a complaint can't be placed."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1')}
+        async with make_world(servers, make_configuration()) as world:
+            for _ in range(3):
+                await _status(world, '/read/x')
+            text = await world.read_metrics()
+            assert 'geraniumshelf_requests_total 3' in text
+            assert 'geraniumshelf_request_time_seconds_count 3' in text
+
+    run(scenario)
+
+
+def test_settings_file_that_breaks_changes_nothing(tmp_path: Path) -> None:
+    """A half-written file must not stop a daemon that serves."""
+    path = tmp_path / 'boot.json'
+    _write(path, SETTINGS)
+    applied: list[EdgeSettings] = []
+    watched = SettingsFile(str(path), read_settings, applied.append)
+    path.write_text('{', encoding='utf-8')
+    watched.reload()
+    assert not applied
+    bounds = {**SETTINGS['bounds'], 'quota_slack': 7}
+    _write(path, {**SETTINGS, 'bounds': bounds})
+    watched.reload()
+    assert [one.bounds.quota_slack for one in applied] == [7]
+
+
+def test_process_starts_serves_and_stops_by_signal(tmp_path: Path) -> None:
+    """The program that the platform runs must read its own settings."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1')}
+        async with make_world(servers, make_configuration()) as world:
+            ready = world.settings.ready_address
+            await world.daemon.close()
+            listen = {
+                'front': world.settings.front_address,
+                'ready': ready,
+                'directory': world.settings.directory_address,
+            }
+            path = _write(
+                tmp_path / 'boot.json',
+                {
+                    **SETTINGS,
+                    'ip': '127.0.0.1',
+                    'listen': listen,
+                    'seeds': [],
+                    'internal_ports': [world.settings.peer_port],
+                    'platform': {'address': world.settings.store_address},
+                },
+            )
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'geraniumshelf_platform.main',
+                env=_environment(path),
+                stdout=asyncio.subprocess.DEVNULL,
+            )
+            try:
+                await _until_served(world)
+                process.send_signal(signal.SIGHUP)
+                assert await _status(world, '/read/x') == 200
+                process.terminate()
+                assert await process.wait() == 0
+            finally:
+                if process.returncode is None:
+                    process.kill()
+
+    run(scenario)
+
+
+def test_missing_settings_end_with_a_message(tmp_path: Path) -> None:
+    """An operator must see why a daemon did not start."""
+
+    async def scenario() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'geraniumshelf_platform.main',
+            env=_environment(str(tmp_path / 'none.json')),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, message = await process.communicate()
+        assert process.returncode == 2
+        assert b'none.json' in message
+
+    run(scenario)
+
+
+def _environment(path: str) -> dict[str, str]:
+    folders = [
+        _ROOT / 'packages/core/src',
+        _ROOT / 'packages/daemon/src',
+        _ROOT / 'platform',
+    ]
+    return {
+        **os.environ,
+        'PYTHONPATH': os.pathsep.join(map(str, folders)),
+        'GERANIUMSHELF_CONFIG': path,
+    }
+
+
+async def _until_served(world: World) -> None:
+    async def is_served() -> bool:
+        try:
+            return await _status(world, '/read/x') == 200
+        except OSError:
+            return False
+
+    await world.until(is_served)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -170,6 +170,11 @@
         caller = await self._connect(self.settings.directory_address)
         return await caller.ask(target)
 
+    async def read_metrics(self) -> str:
+        """Ask for the metrics."""
+        caller = await self._connect(self.settings.metrics_address)
+        return (await caller.ask('/metrics')).body.decode()
+
     async def check_ready(self) -> int:
         """Return the status of the platform's check."""
         caller = await self._connect(self.settings.ready_address)
@@ -246,7 +251,7 @@
 
 
 def _settings(store_address: str) -> EdgeSettings:
-    ports = [_free_port() for _ in range(4)]
+    ports = [_free_port() for _ in range(5)]
     return EdgeSettings(
         name='n1',
         zone='a1',
@@ -257,6 +262,7 @@
         directory_address=f'127.0.0.1:{ports[2]}',
         peer_port=ports[3],
         seeds=(),
+        metrics_address=f'127.0.0.1:{ports[4]}',
         store_address=store_address,
         bounds=evolve(BOUNDS),
     )
