--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -69,6 +69,8 @@
 # Part of the grace time after which running requests are given up.
 _GRACE_PART: Final = 0.95
 _POLL_S: Final = 0.05
+# Changes of a spilled share that are logged.
+_TOLD_STEP: Final = 0.05
 # Until the configuration is known, callers may be idle for this time.
 _IDLE_TIMEOUT_S: Final = 15.0
 
@@ -144,6 +146,7 @@
         )
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._told_spills: dict[str, float] = {}
 
     async def start(self) -> None:
         """Listen and begin to follow the store.
@@ -273,6 +276,7 @@
             now = self._clock()
             self._servers.forget_removed(now)
             adjust_spills(self._state.placement, step, now)
+            self._log_spills()
             self._heartbeats.set_ready(self._is_ready())
             found = fleet_sizes(self._presence, self._settings)
             if sizes != found:
@@ -280,6 +284,18 @@
                 self._divide()
             await asyncio.sleep(_TICK_S)
 
+    def _log_spills(self) -> None:
+        for service, spill in self._state.placement.spills.items():
+            told = self._told_spills.get(service, 0)
+            if abs(spill.fraction - told) >= _TOLD_STEP:
+                self._told_spills[service] = spill.fraction
+                log_event(
+                    Event.SPILL_CHANGED,
+                    service,
+                    fraction=round(spill.fraction, 3),
+                    base=round(spill.base, 3),
+                )
+
     def _divide(self) -> None:
         table = self._state.table
         if table is None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
@@ -88,7 +88,7 @@
                     ResultCode.OVERLOADED
                     if choice
                     else ResultCode.NO_BACKEND_SERVER,
-                    f'{order.service} cannot answer in time',
+                    _describe(order, choice, now),
                     ran=ran,
                     retry_after_s=_rounded_s(retry_after),
                 )
@@ -185,5 +185,21 @@
         )
 
 
+def _describe(order: Order, choice: Choice | None, now: Nanoseconds) -> str:
+    if choice is None:
+        return f'{order.service} has no server for this request'
+    view = choice.view
+    reported = view.reported_at
+    age = 'none' if reported is None else (now - reported) // MILLISECOND_NS
+    return (
+        f'{order.service} cannot answer in time: {view.server.name}'
+        f' wait {choice.wait // MILLISECOND_NS} ms'
+        f' work {choice.work // MILLISECOND_NS} ms'
+        f' own {view.in_flight} others {view.others}'
+        f' slots {view.server.slots} report age {age} ms'
+        f' left {(order.deadline - now) // MILLISECOND_NS} ms'
+    )
+
+
 def _rounded_s(wait: Nanoseconds) -> float:
     return round(max(ns_to_seconds(wait), _LEAST_WAIT_S), 3)
--- a/packages/daemon/src/geraniumshelf_daemon/observability/events.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/events.py
@@ -75,6 +75,7 @@
     PLAN_REFUSED = 706
     ZONE_EVACUATED = 707
     ZONE_RETURNED = 708
+    SPILL_CHANGED = 709
 
 
 _WARNINGS: Final = frozenset(
--- a/packages/daemon/src/geraniumshelf_daemon/observability/exposition.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/exposition.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms as text, for a collector that asks.
 
-The text form of Prometheus is written here: its client library needs about
-4 MB, an eighth of the daemon, for what these few lines do.
+The text form of Prometheus is written here, as its client library brings an
+HTTP server and a registry of its own, which a daemon would hold in memory.
 """
 
 from bisect import bisect_left
