Stop only when no connection holds a request that was read

Ruled out: answers that close the connection, as nothing was under way on it. Change: the stop waits until no connection has a request under way.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -217,9 +217,10 @@
         self._front.stop_keep_alive()
         await asyncio.sleep(_LEAVE_S)
         self._front.stop_accepting()
-        self._front.close_idle()
         grace = round(self._settings.bounds.grace * _GRACE_PART)
-        while self._state.running and self._clock() - begun < grace:
+        # Connections are counted and not tasks: a request that was just read
+        # has no task that runs yet.
+        while self._front.close_idle() and self._clock() - begun < grace:
             await asyncio.sleep(_POLL_S)
         await self.close()
         log_event(
--- a/packages/daemon/src/geraniumshelf_daemon/front/connection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/connection.py
@@ -149,7 +149,9 @@
         return not self._under_way or self._under_way[-1] is caller
 
     def _begin(self, caller: Caller) -> bool:
-        if self._is_closing:
+        # A head that was read in the step that closed the connection still
+        # arrives here.
+        if self._is_closing or self._stream.closed():
             return False
         self._under_way.append(caller)
         return True
--- a/packages/daemon/src/geraniumshelf_daemon/front/server.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/server.py
@@ -70,9 +70,14 @@
         """Ask callers to close their connections after the next answer."""
         self._delegate.is_leaving = True
 
-    def close_idle(self) -> None:
-        """Close the connections without a request under way."""
-        self._http.close_idle()
+    def close_idle(self) -> int:
+        """Close the connections without a request under way.
+
+        Returns:
+            The number of connections that are left; each has a request that
+            was read and not yet answered.
+        """
+        return self._http.close_idle()
 
     def stop_accepting(self) -> None:
         """Close the port; connections stay open."""
@@ -111,12 +116,13 @@
     def _forget(self, connection: CallerConnection) -> None:
         self._connections.discard(connection)
 
-    def close_idle(self) -> None:
+    def close_idle(self) -> int:
         """Close the connections without a request under way."""
         for connection in tuple(self._connections):
             assert isinstance(connection, CallerConnection)
             if connection.is_idle:
                 connection.close_now()
+        return len(self._connections)
 
 
 class _Connections(HTTPServerConnectionDelegate):
--- a/tests/daemon/front/test_connection.py
+++ b/tests/daemon/front/test_connection.py
@@ -96,3 +96,37 @@
         await server.close()
 
     run(scenario)
+
+
+def test_request_that_was_read_keeps_its_connection() -> None:
+    """A stop that counts only running tasks cuts a request just read."""
+
+    async def scenario() -> None:
+        for steps in range(12):
+            served: list[str] = []
+
+            async def serve(caller: Caller, log: list[str] = served) -> None:
+                log.append(caller.target)
+                await asyncio.sleep(0.01)
+                await caller.reply.answer(200, 'OK', _headers(), _ANSWER_BODY)
+
+            server = FrontServer(serve)
+            port = server.listen('127.0.0.1', 0)
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            await asyncio.sleep(0.01)
+            server.stop_keep_alive()
+            writer.write(_REQUEST % 1)
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            if not server.close_idle():
+                await server.close()
+            try:
+                answer = await reader.read()
+            except ConnectionError:
+                answer = b''
+            await asyncio.sleep(0.02)
+            assert bool(served) == bool(answer), steps
+            writer.close()
+            await server.close()
+
+    run(scenario)
