Admit a whole request of a small account at each daemon of a large fleet

Change: such a bucket holds one token and refills more slowly, so that no window admits more; the test failed first. Spilled shares, the clock and the time-out tests have modules of their own; what decided a rejection goes to the log and no longer to the caller.

--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -10,10 +10,10 @@
     is_cold,
     usual_work,
 )
+from geraniumshelf_core.placement.spills import plan_spills
 from geraniumshelf_core.placement.state import (
     PlacementState,
     ServerView,
-    SpillState,
 )
 from geraniumshelf_core.site.model import ListedServer
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
@@ -37,11 +37,6 @@
 _FULL_MS: Final = 50
 _FULL_NS: Final[Nanoseconds] = _FULL_MS * MILLISECOND_NS
 _COLD_WINDOW_NS: Final[Nanoseconds] = SECOND_NS
-# Above the first load per slot objects move out, below the second they return.
-_SPILL_ABOVE: Final = 0.75
-_RETURN_BELOW: Final = 0.55
-# Slots of a region that has no more than its part, when another is full.
-_LEAST_SPARE: Final = 0.01
 
 
 @frozen
@@ -126,7 +121,7 @@
             group.append(name)
     state.usable = {key: tuple(names) for key, names in usable.items()}
     state.ranks.clear()
-    _plan_spills(state)
+    plan_spills(state)
 
 
 def begin_request(
@@ -197,66 +192,6 @@
     view.cold_until = now + cold_left if cold_left else 0
 
 
-def adjust_spills(state: PlacementState, step: float, now: Nanoseconds) -> None:
-    """Move objects out of a full region, or back, by at most one step.
-
-    Answers a region that has fewer servers than its callers need: its load
-    moves gradually, so that no more than the capped share of its requests
-    changes region at once.
-
-    Args:
-        state: The state to change.
-        step: Largest change of a service's share.
-        now: Current time.
-    """
-    own = state.place.region
-    for service, spill in state.spills.items():
-        pressure = _pressure(state, service, own, now)
-        if pressure > _SPILL_ABOVE and _has_room(state, service, now):
-            wanted = 1.0
-        elif pressure < _RETURN_BELOW:
-            wanted = spill.base
-        else:
-            wanted = max(spill.fraction, spill.base)
-        change = min(max(wanted - spill.fraction, -step / 2), step)
-        spill.fraction += change
-
-
-def _has_room(state: PlacementState, service: str, now: Nanoseconds) -> bool:
-    return any(
-        _pressure(state, service, region, now) < _SPILL_ABOVE
-        for region in set(state.regions.values())
-        if region != state.place.region
-    )
-
-
-def _plan_spills(state: PlacementState) -> None:
-    """Work out which part of each service's slots the own region lacks."""
-    regions = set(state.regions.values())
-    services = sorted({service for service, _ in state.usable})
-    for service in services:
-        slots = {
-            region: sum(
-                state.servers[name].server.slots
-                for name in state.usable.get((service, region), ())
-            )
-            for region in regions
-        }
-        part = sum(slots.values()) / len(regions)
-        base = max(0, 1 - slots.get(state.place.region, 0) / part)
-        spill = state.spills.get(service)
-        if spill is None:
-            spill = SpillState()
-            state.spills[service] = spill
-        if not state.is_started:
-            spill.fraction = base
-        spill.base = base
-        spill.spare = {
-            region: max(_LEAST_SPARE, count - part)
-            for region, count in slots.items()
-        }
-
-
 def _record_work(
     state: PlacementState,
     view: ServerView,
@@ -282,20 +217,6 @@
         del view.warm[next(iter(view.warm))]
 
 
-def _pressure(
-    state: PlacementState, service: str, region: str, now: Nanoseconds
-) -> float:
-    views = [
-        state.servers[name] for name in state.usable.get((service, region), ())
-    ]
-    slots = sum(
-        view.server.slots for view in views if view.ejected_until <= now
-    )
-    if not slots:
-        return 1
-    return sum(estimated_load(view, now) for view in views) / slots
-
-
 def _eject(state: PlacementState, view: ServerView, now: Nanoseconds) -> bool:
     names = _neighbours(state, view)
     ejected = sum(state.servers[name].ejected_until > now for name in names)
--- a/packages/core/src/geraniumshelf_core/shares/quotas.py
+++ b/packages/core/src/geraniumshelf_core/shares/quotas.py
@@ -59,11 +59,13 @@
     Attributes:
         overshoot: Part of a rate that is allowed beyond it.
         slack: Requests that are allowed beyond the burst in a window.
+        window_s: Length of that window, seconds.
         shares: Share by account name.
     """
 
     overshoot: float
     slack: float
+    window_s: float
     shares: dict[str, AccountShare] = field(factory=dict)
 
 
@@ -80,8 +82,11 @@
     factor = (1 + quotas.overshoot) * _GIVEN_PART / daemons
     slack = quotas.slack * _GIVEN_PART / daemons
     for name, account in wanted.items():
-        rate = account.rate * factor
-        capacity = account.burst * factor + slack
+        rate, capacity = _whole_tokens(
+            account.rate * factor,
+            account.burst * factor + slack,
+            quotas.window_s,
+        )
         share = quotas.shares.get(name)
         if share is None:
             bucket = ShareBucket(rate, capacity, filled_at=now)
@@ -122,6 +127,7 @@
     return {
         name: _HEADROOM * held.demand / held.rate
         for name, held in quotas.shares.items()
+        if held.rate > 0
     }
 
 
@@ -134,7 +140,7 @@
 ) -> float:
     """Lend a part of this daemon's share; return how much, 0 for none."""
     share = quotas.shares.get(account)
-    if share is None:
+    if share is None or share.rate <= 0:
         return 0
     needed = _HEADROOM * share.demand / share.rate
     given = lend(share.loans, borrower, wanted, needed, now)
@@ -155,6 +161,21 @@
         borrow(share.loans, lender, part, asked_at)
 
 
+def _whole_tokens(
+    rate: float, capacity: float, window_s: float
+) -> tuple[float, float]:
+    """Return a rate and a capacity that admit a request at all.
+
+    In a large fleet the bucket of a small account holds less than one token.
+    It gets a whole one, and a lower rate, so that no window admits more.
+    """
+    if capacity >= 1:
+        return rate, capacity
+    total = capacity + rate * window_s
+    whole = min(1, total)
+    return (total - whole) / window_s, whole
+
+
 def _apply_loans(share: AccountShare, now: Nanoseconds) -> None:
     part = own_share(share.loans, now)
     resize(share.bucket, share.rate * part, share.capacity * part, now)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -4,13 +4,11 @@
 import os
 from collections.abc import Awaitable, Callable
 from random import Random
-from time import CLOCK_BOOTTIME, clock_gettime_ns
 from typing import Final
 
 from attrs import evolve
 
 from geraniumshelf_core.dispatch.state import Place
-from geraniumshelf_core.placement.commands import adjust_spills
 from geraniumshelf_core.placement.state import PlacementState
 from geraniumshelf_core.presence.commands import (
     add_target,
@@ -25,6 +23,7 @@
     ns_to_seconds,
 )
 from geraniumshelf_daemon.edge.attempt import AttemptTools
+from geraniumshelf_daemon.edge.clock import boot_time
 from geraniumshelf_daemon.edge.directory import (
     Directory,
     MetricsPage,
@@ -45,6 +44,7 @@
     EvacuationSink,
     ServerSink,
 )
+from geraniumshelf_daemon.edge.spilling import Spills
 from geraniumshelf_daemon.edge.state import RelayState
 from geraniumshelf_daemon.edge.watching import Watcher
 from geraniumshelf_daemon.front.server import FrontServer
@@ -54,10 +54,6 @@
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 
 _TICK_S: Final = 0.25
-_TICKS_PER_SHIFT_WINDOW: Final = 8
-# Part of the cap on shifts that one service's step uses; the rest covers the
-# chance differences between two windows.
-_SHIFT_PART: Final = 0.4
 _RETRY_PAUSE_S: Final = 0.5
 # Three times the longest way between regions and back.
 _CONNECT_TIMEOUT_MS: Final = 300
@@ -69,20 +65,10 @@
 # Part of the grace time after which running requests are given up.
 _GRACE_PART: Final = 0.95
 _POLL_S: Final = 0.05
-# Changes of a spilled share that are logged.
-_TOLD_STEP: Final = 0.05
 # Until the configuration is known, callers may be idle for this time.
 _IDLE_TIMEOUT_S: Final = 15.0
 
 
-def boot_time() -> Nanoseconds:
-    """Return a steady time that goes on while the instance is suspended.
-
-    Terms of loans must have ended when a suspended borrower wakes up.
-    """
-    return clock_gettime_ns(CLOCK_BOOTTIME)
-
-
 class EdgeDaemon:
     """Wires the parts of a daemon and runs them until it is told to stop."""
 
@@ -104,7 +90,11 @@
         )
         self._state = RelayState(
             placement,
-            Quotas(bounds.quota_overshoot, bounds.quota_slack),
+            Quotas(
+                bounds.quota_overshoot,
+                bounds.quota_slack,
+                ns_to_seconds(bounds.quota_window),
+            ),
             RetryShares(
                 bounds.retry_ratio,
                 bounds.retry_slack,
@@ -146,7 +136,7 @@
         )
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._told_spills: dict[str, float] = {}
+        self._spills = Spills(placement, bounds.largest_shift, _TICK_S)
 
     async def start(self) -> None:
         """Listen and begin to follow the store.
@@ -193,6 +183,7 @@
         quotas, retries = self._state.quotas, self._state.retries
         quotas.overshoot = bounds.quota_overshoot
         quotas.slack = bounds.quota_slack
+        quotas.window_s = ns_to_seconds(bounds.quota_window)
         retries.ratio = bounds.retry_ratio
         retries.slack = bounds.retry_slack
         retries.window_s = ns_to_seconds(bounds.retry_window)
@@ -267,17 +258,11 @@
         )
 
     async def _tick(self) -> None:
-        step = (
-            self._settings.bounds.largest_shift
-            * _SHIFT_PART
-            / _TICKS_PER_SHIFT_WINDOW
-        )
         sizes = (0, 0)
         while True:
             now = self._clock()
             self._servers.forget_removed(now)
-            adjust_spills(self._state.placement, step, now)
-            self._log_spills()
+            self._spills.adjust(now)
             self._heartbeats.set_ready(self._is_ready())
             found = fleet_sizes(self._presence, self._settings)
             if sizes != found:
@@ -285,18 +270,6 @@
                 self._divide()
             await asyncio.sleep(_TICK_S)
 
-    def _log_spills(self) -> None:
-        for service, spill in self._state.placement.spills.items():
-            told = self._told_spills.get(service, 0)
-            if abs(spill.fraction - told) >= _TOLD_STEP:
-                self._told_spills[service] = spill.fraction
-                log_event(
-                    Event.SPILL_CHANGED,
-                    service,
-                    fraction=round(spill.fraction, 3),
-                    base=round(spill.base, 3),
-                )
-
     def _divide(self) -> None:
         table = self._state.table
         if table is None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
@@ -59,13 +59,19 @@
             retry_after_s=_rounded_s(round(wait * (1 + self._random.random()))),
         )
 
-    def place(self, order: Order, excluded: frozenset[str], ran: Ran) -> Choice:
+    def place(
+        self,
+        order: Order,
+        excluded: frozenset[str],
+        progress: RequestProgress,
+    ) -> Choice:
         """Return the server for a request.
 
         Args:
             order: The request.
             excluded: Names of servers that have had it already.
-            ran: What is known of whether it ran.
+            progress: What is known of the request; takes the inputs of a
+                rejection.
 
         Raises:
             RequestRefused: ``OVERLOADED`` or ``NO_BACKEND_SERVER`` if it
@@ -84,12 +90,13 @@
             case Admitted(admitted):
                 return admitted
             case Rejected(retry_after):
+                progress.inputs = _describe(choice, order.deadline - now, now)
                 raise RequestRefused(
                     ResultCode.OVERLOADED
                     if choice
                     else ResultCode.NO_BACKEND_SERVER,
-                    _describe(order, choice, now),
-                    ran=ran,
+                    f'{order.service} cannot answer in time',
+                    ran=progress.ran,
                     retry_after_s=_rounded_s(retry_after),
                 )
 
@@ -185,19 +192,20 @@
         )
 
 
-def _describe(order: Order, choice: Choice | None, now: Nanoseconds) -> str:
+def _describe(
+    choice: Choice | None, left: Nanoseconds, now: Nanoseconds
+) -> str:
     if choice is None:
-        return f'{order.service} has no server for this request'
+        return 'no server may take it'
     view = choice.view
     reported = view.reported_at
     age = 'none' if reported is None else (now - reported) // MILLISECOND_NS
     return (
-        f'{order.service} cannot answer in time: {view.server.name}'
-        f' wait {choice.wait // MILLISECOND_NS} ms'
+        f'{view.server.name} wait {choice.wait // MILLISECOND_NS} ms'
         f' work {choice.work // MILLISECOND_NS} ms'
         f' own {view.in_flight} others {view.others}'
         f' slots {view.server.slots} report age {age} ms'
-        f' left {(order.deadline - now) // MILLISECOND_NS} ms'
+        f' left {left // MILLISECOND_NS} ms'
     )
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -125,7 +125,7 @@
     ) -> tuple[ServerAttempt, Answer]:
         excluded: frozenset[str] = frozenset()
         while True:
-            choice = self._placer.place(order, excluded, progress.ran)
+            choice = self._placer.place(order, excluded, progress)
             progress.server = choice.view.server.name
             try:
                 return await self._ask(caller, order, choice, upload, progress)
@@ -226,6 +226,7 @@
             request=progress.order.fields.request_id if progress.order else '',
             ran=refusal.ran.value,
             server=progress.server,
+            inputs=progress.inputs,
             retry_after_s=refusal.retry_after_s,
         )
         try:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
@@ -19,6 +19,7 @@
         retry_window: Length of that window.
         quota_overshoot: Part of an account's rate allowed beyond it.
         quota_slack: Requests allowed beyond an account's burst in a window.
+        quota_window: Length of that window.
         cold_overshoot: Factor on the rate of a cold server.
         cold_slack: Requests allowed beyond it in a second.
         longest_ttl: Longest time that callers keep a directory answer.
@@ -33,6 +34,7 @@
     retry_window: Nanoseconds
     quota_overshoot: float
     quota_slack: float
+    quota_window: Nanoseconds
     cold_overshoot: float
     cold_slack: float
     longest_ttl: Nanoseconds
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -45,6 +45,7 @@
             run.
         attempts: Servers that it was sent to.
         server: The last server that was chosen.
+        inputs: What decided a rejection; for the log, not for the caller.
     """
 
     order: Order | None = None
@@ -52,3 +53,4 @@
     may_have_run: bool = False
     attempts: int = 0
     server: str = ''
+    inputs: str = ''
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -6,7 +6,6 @@
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.placement.commands import (
     Outcome,
-    adjust_spills,
     begin_request,
     end_request,
     put_server,
@@ -20,6 +19,7 @@
     has_cold_room,
     region_order,
 )
+from geraniumshelf_core.placement.spills import adjust_spills
 from geraniumshelf_core.placement.state import (
     PlacementState,
     ServerView,
--- a/tests/core/shares/test_quotas.py
+++ b/tests/core/shares/test_quotas.py
@@ -27,7 +27,7 @@
 
 
 def _quotas(now: int) -> Quotas:
-    quotas = Quotas(_OVERSHOOT, _SLACK)
+    quotas = Quotas(_OVERSHOOT, _SLACK, _WINDOW_S)
     divide_quotas(quotas, [_ACCOUNT], _DAEMONS, now)
     return quotas
 
@@ -114,8 +114,27 @@
     assert share.bucket.rate == share.rate
 
 
+def test_small_account_is_served_by_each_daemon_of_a_large_fleet() -> None:
+    """A bucket that holds less than one token admits nothing, ever."""
+    daemons = 73
+    small = SiteAccount('shop', ('k',), 12, 12)
+    admitted: list[int] = []
+    for _ in range(daemons):
+        quotas = Quotas(_OVERSHOOT, _SLACK, _WINDOW_S)
+        divide_quotas(quotas, [small], daemons, 0)
+        times = [
+            now
+            for now in range(SECOND_NS, 30 * SECOND_NS, SECOND_NS // 2)
+            if admit(quotas, 'shop', now)
+        ]
+        assert times
+        admitted.extend(times)
+    limit = (12 * _WINDOW_S + 12) * (1 + _OVERSHOOT) + _SLACK
+    assert _most_in_window(admitted) <= limit
+
+
 def test_account_without_a_limit_is_always_admitted() -> None:
     """A rate of 0 stands for no limit, not for none at all."""
-    quotas = Quotas(_OVERSHOOT, _SLACK)
+    quotas = Quotas(_OVERSHOOT, _SLACK, _WINDOW_S)
     divide_quotas(quotas, [SiteAccount('free', ('k',))], 9, 0)
     assert all(admit(quotas, 'free', 0) for _ in range(1000))
--- a/tests/daemon/edge/test_sinks.py
+++ b/tests/daemon/edge/test_sinks.py
@@ -15,7 +15,7 @@
 
 def _sink(*servers: ListedServer) -> tuple[ServerSink, PlacementState]:
     placement = PlacementState(Place('a1', 'a'), {'a1': 'a'})
-    state = RelayState(placement, Quotas(0, 0), RetryShares(0, 0, 1))
+    state = RelayState(placement, Quotas(0, 0, 1), RetryShares(0, 0, 1))
     sink = ServerSink(state)
     view = SiteView(1, {one.name: one for one in servers})
     sink.replace(view, _NOW, after_outage=False)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -252,53 +252,6 @@
     run(scenario)
 
 
-def test_silent_server_is_given_up_at_the_timeout_of_the_route() -> None:
-    """A caller must not be held longer than the operator wants."""
-
-    async def scenario() -> None:
-        servers = {'i-1': ServerStandin('i-1', work_s=5)}
-        async with make_world(servers, make_configuration()) as world:
-            caller = await world.connect()
-            begun = asyncio.get_running_loop().time()
-            answer = await caller.ask(
-                '/sale/x', method='POST', X_Deadline_Ms='9000'
-            )
-            assert answer.status == 504
-            assert 1.9 < asyncio.get_running_loop().time() - begun < 2.4
-
-    run(scenario)
-
-
-def test_silent_server_is_kept_when_no_other_is_free() -> None:
-    """A request that is given up without a better place is lost."""
-
-    async def scenario() -> None:
-        servers = {'i-1': ServerStandin('i-1', work_s=1.2)}
-        async with make_world(servers, make_configuration()) as world:
-            caller = await world.connect()
-            assert (await caller.ask('/read/x')).status == 200
-
-    run(scenario)
-
-
-def test_work_of_a_caller_that_left_is_cancelled() -> None:
-    """Slots would be spent on answers that nobody reads."""
-
-    async def scenario() -> None:
-        server = ServerStandin('i-1', work_s=0.5)
-        async with make_world({'i-1': server}, make_configuration()) as world:
-            caller = await world.connect()
-            caller.send('/read/1')
-            caller.send('/read/2')
-            while len(server.received) < 2:
-                await asyncio.sleep(0.01)
-            caller.close()
-            while server.broken_off < 2:
-                await asyncio.sleep(0.01)
-
-    run(scenario)
-
-
 def test_directory_names_this_daemon() -> None:
     """Callers ask here where to send requests."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -30,6 +30,7 @@
         'retry_budget_slack': 58,
         'quota_overshoot': 0.1,
         'quota_slack': 20,
+        'quota_window_s': 5,
         'cold_overshoot': 1.5,
         'cold_slack': 5,
         'ttl_max_s': 5,
--- /dev/null
+++ b/tests/platform/test_timeouts.py
@@ -0,0 +1,71 @@
+"""Guards how long requests are held, and what ends them early."""
+
+import asyncio
+
+from tests.platform.server_standin import ServerStandin
+from tests.platform.world import make_configuration, make_world, run
+
+
+def test_silent_server_is_given_up_at_the_timeout_of_the_route() -> None:
+    """A caller must not be held longer than the operator wants."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1', work_s=5)}
+        async with make_world(servers, make_configuration()) as world:
+            caller = await world.connect()
+            begun = asyncio.get_running_loop().time()
+            answer = await caller.ask(
+                '/sale/x', method='POST', X_Deadline_Ms='9000'
+            )
+            assert answer.status == 504
+            assert 1.9 < asyncio.get_running_loop().time() - begun < 2.4
+
+    run(scenario)
+
+
+def test_silent_server_is_kept_when_no_other_is_free() -> None:
+    """A request that is given up without a better place is lost."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1', work_s=1.2)}
+        async with make_world(servers, make_configuration()) as world:
+            caller = await world.connect()
+            assert (await caller.ask('/read/x')).status == 200
+
+    run(scenario)
+
+
+def test_work_of_a_caller_that_left_is_cancelled() -> None:
+    """Slots would be spent on answers that nobody reads."""
+
+    async def scenario() -> None:
+        server = ServerStandin('i-1', work_s=0.5)
+        async with make_world({'i-1': server}, make_configuration()) as world:
+            caller = await world.connect()
+            caller.send('/read/1')
+            caller.send('/read/2')
+            while len(server.received) < 2:
+                await asyncio.sleep(0.01)
+            caller.close()
+            while server.broken_off < 2:
+                await asyncio.sleep(0.01)
+
+    run(scenario)
+
+
+def test_rejection_tells_the_log_what_decided_it_and_not_the_caller() -> None:
+    """Names of servers are no business of callers."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1', slots=1, work_s=0.5)}
+        async with make_world(servers, make_configuration()) as world:
+            callers = [await world.connect() for _ in range(8)]
+            for number, caller in enumerate(callers):
+                caller.send(f'/open/{number}')
+            answers = [await caller.receive() for caller in callers]
+            rejected = [one for one in answers if one.status == 503]
+            assert rejected
+            assert all(b'i-1' not in one.body for one in rejected)
+            assert all(float(one.headers['retry-after']) for one in rejected)
+
+    run(scenario)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -27,6 +27,7 @@
     retry_window=10 * SECOND_NS,
     quota_overshoot=0.1,
     quota_slack=20,
+    quota_window=5 * SECOND_NS,
     cold_overshoot=1.5,
     cold_slack=5,
     longest_ttl=5 * SECOND_NS,
