--- a/packages/daemon/src/geraniumshelf_daemon/front/connection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/connection.py
@@ -105,14 +105,14 @@
         return not self._under_way
 
     async def run(self) -> None:
-        """Serve requests until the connection ends."""
+        """Serve requests until the connection ends and all are answered."""
         self._stream.set_close_callback(self._leave)
         self._watch_idle()
         try:
             while await self._read_request():
-                while len(self._under_way) >= _MOST_UNDER_WAY:
-                    self._change.clear()
-                    await self._change.wait()
+                await self._wait_below(_MOST_UNDER_WAY)
+            # The caller may have asked to close after its last request.
+            await self._wait_below(1)
         except (StreamClosedError, UnsatisfiableReadError):
             self._stream.close()
         finally:
@@ -142,6 +142,11 @@
         is_open = await connection.read_response(caller)
         return is_open and not connection.ends_connection
 
+    async def _wait_below(self, limit: int) -> None:
+        while len(self._under_way) >= limit:
+            self._change.clear()
+            await self._change.wait()
+
     def _is_first(self, caller: Caller) -> bool:
         return not self._under_way or self._under_way[0] is caller
 
--- a/tests/daemon/front/test_connection.py
+++ b/tests/daemon/front/test_connection.py
@@ -130,3 +130,29 @@
             await server.close()
 
     run(scenario)
+
+
+def test_last_request_of_a_connection_is_counted_until_its_answer() -> None:
+    """A stop would reset an upload whose caller asked to close after it."""
+    go = asyncio.Event()
+
+    async def serve(caller: Caller) -> None:
+        await go.wait()
+        await caller.reply.answer(200, 'OK', _headers(), _ANSWER_BODY)
+
+    async def scenario() -> None:
+        server = FrontServer(serve)
+        port = server.listen('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(b'GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n')
+        await asyncio.sleep(0.05)
+        assert server.close_idle() == 1
+        go.set()
+        answer = await reader.read()
+        assert answer.endswith(_ANSWER_BODY)
+        await asyncio.sleep(0.05)
+        assert server.close_idle() == 0
+        writer.close()
+        await server.close()
+
+    run(scenario)
