--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -24,7 +24,7 @@
 # Objects that are taken to be warm on a server; the smallest servers of the
 # deployments keep about as many.
 _MOST_WARM: Final = 24
-# About five failures in eight requests eject a server that hardly ever failed.
+# Four failed or shed requests in a row reach the ejecting share.
 _FAILURE_GAIN: Final = 0.15
 _EJECTING_SHARE: Final = 0.4
 FAILURES_TO_EJECT: Final = 3
--- a/packages/daemon/src/geraniumshelf_daemon/edge/budget.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/budget.py
@@ -5,8 +5,7 @@
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
 from geraniumshelf_daemon.observability.events import Event, log_event
 
-# A line costs about 0.1 ms of processor time, so this is under a hundredth of
-# a core.
+# Bounds the volume under load; an overloaded daemon rejects hundreds a second.
 LINES_PER_SECOND = 40
 _SERVED_PER_SECOND = 2
 
