Let a request wait for a token and ask other entries for some

A log of one entry shows 150 refusals over some 40 accounts, 3 to 5 each: callers send a few requests at once, and one entry's part of a small account's burst is a token or two, which refills in a second or more.

Ruled out: larger loans of rates; they follow the demand of the last two seconds, and these bursts are over by then.

Change: a request without a token waits at most 300 ms. Meanwhile its daemon asks the entries of its region, then those of the others, for tokens, which leave the bucket there before they are spent. Tokens that come late or for nobody are dropped. After a wait in vain the account is refused at once for half a second, unless its own bucket serves it in time.

--- a/packages/core/src/geraniumshelf_core/presence/state.py
+++ b/packages/core/src/geraniumshelf_core/presence/state.py
@@ -110,6 +110,38 @@
     asked_at: Nanoseconds
 
 
+@frozen
+class TokenRequest:
+    """A question for tokens of an account whose requests wait.
+
+    Attributes:
+        name: Instance that asks.
+        asked_at: Time of the question by its own clock.
+        account: Client account.
+        wanted: How many.
+    """
+
+    name: str
+    asked_at: Nanoseconds
+    account: str
+    wanted: int
+
+
+@frozen
+class TokenGrant:
+    """The answer to a ``TokenRequest``.
+
+    Attributes:
+        asked_at: Time of the question by the clock of the one that asked.
+        account: Client account.
+        granted: Tokens that left the bucket of the one that answers.
+    """
+
+    asked_at: Nanoseconds
+    account: str
+    granted: int
+
+
 @define
 class Neighbour:
     """Another daemon.
--- a/packages/core/src/geraniumshelf_core/shares/quotas.py
+++ b/packages/core/src/geraniumshelf_core/shares/quotas.py
@@ -109,6 +109,14 @@
     if share is None:
         return True
     share.arrivals += 1
+    return take_token(quotas, account, now)
+
+
+def take_token(quotas: Quotas, account: str, now: Nanoseconds) -> bool:
+    """Take a token for a request that was counted before."""
+    share = quotas.shares.get(account)
+    if share is None:
+        return True
     _apply_loans(quotas, share, now)
     return take(share.bucket, now)
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -8,17 +8,12 @@
 
 from attrs import evolve
 
-from geraniumshelf_core.dispatch.state import Place
-from geraniumshelf_core.placement.state import PlacementState
 from geraniumshelf_core.presence.commands import (
     add_target,
     register_instance,
 )
-from geraniumshelf_core.presence.duty import Duty, decide_duty
+from geraniumshelf_core.presence.duty import Duty
 from geraniumshelf_core.presence.state import Beat, Member, PresenceState
-from geraniumshelf_core.shares.holding import Holding, withdraw_share
-from geraniumshelf_core.shares.quotas import Quotas
-from geraniumshelf_core.shares.retries import RetryShares
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
     Nanoseconds,
@@ -39,7 +34,12 @@
 from geraniumshelf_daemon.edge.relay import Relay
 from geraniumshelf_daemon.edge.settings import EdgeSettings
 from geraniumshelf_daemon.edge.spilling import Spills
-from geraniumshelf_daemon.edge.state import RelayState
+from geraniumshelf_daemon.edge.standby import Standby
+from geraniumshelf_daemon.edge.state import (
+    apply_bounds,
+    build_state,
+)
+from geraniumshelf_daemon.edge.tokens import TokenDesk
 from geraniumshelf_daemon.front.server import FrontServer
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.observability.exposition import Exposition
@@ -77,27 +77,7 @@
         self._clock = clock
         self._random = random or Random()
         bounds = settings.bounds
-        self._holding = Holding()
-        placement = PlacementState(
-            Place(settings.zone, settings.region),
-            settings.regions,
-            holding=self._holding,
-        )
-        self._state = RelayState(
-            placement,
-            Quotas(
-                bounds.quota_overshoot,
-                bounds.quota_slack,
-                ns_to_seconds(bounds.quota_window),
-                self._holding,
-            ),
-            RetryShares(
-                bounds.retry_ratio,
-                bounds.retry_slack,
-                ns_to_seconds(bounds.retry_window),
-                holding=self._holding,
-            ),
-        )
+        self._state = build_state(settings)
         self._presence = PresenceState(settings.ip)
         self._heartbeats = Heartbeats(
             self._presence,
@@ -106,15 +86,26 @@
             clock,
             self._random,
             self._state.quotas,
+            settings.regions,
         )
+        desk = TokenDesk(self._state.quotas, clock, self._heartbeats.ask_tokens)
+        self._heartbeats.take_grant = desk.take_grant
         self._duty = Duty(clock())
         self._following = Following(
             self._state, store, clock, self._random, self._divide
         )
+        self._standby = Standby(
+            self._duty,
+            self._following,
+            self._presence,
+            self._state.quotas.holding,
+            lambda: self._heartbeats.own,
+        )
         self._pool = ConnectionPool(_IDLE_CONNECTIONS, _CONNECT_TIMEOUT_NS)
         relay = Relay(
             self._state,
             AttemptTools(self._pool, codec, clock),
+            desk,
             clock,
             self._random,
         )
@@ -136,7 +127,9 @@
         )
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._spills = Spills(placement, bounds.largest_shift, _TICK_S)
+        self._spills = Spills(
+            self._state.placement, bounds.largest_shift, _TICK_S
+        )
 
     async def start(self) -> None:
         """Listen and begin to follow the store.
@@ -181,13 +174,7 @@
         """Take over changed bounds; addresses stay until the next start."""
         bounds = settings.bounds
         self._settings = evolve(self._settings, bounds=bounds)
-        quotas, retries = self._state.quotas, self._state.retries
-        quotas.overshoot = bounds.quota_overshoot
-        quotas.slack = bounds.quota_slack
-        quotas.window_s = ns_to_seconds(bounds.quota_window)
-        retries.ratio = bounds.retry_ratio
-        retries.slack = bounds.retry_slack
-        retries.window_s = ns_to_seconds(bounds.retry_window)
+        apply_bounds(self._state, bounds)
         self._divide()
         log_event(Event.SETTINGS_RELOADED, settings.name)
 
@@ -241,19 +228,18 @@
     def _is_ready(self) -> bool:
         return self._following.is_loaded and not self._stopping.is_set()
 
-    def _is_standby(self) -> bool:
-        return self._duty.is_entry is False and not self._stopping.is_set()
-
     async def _tick(self) -> None:
         sizes = (0, 0)
         while True:
             now = self._clock()
-            await self._change_duty(now)
+            if not self._stopping.is_set():
+                await self._standby.adjust(self._state, self._settings, now)
             self._following.forget_removed(now)
             self._spills.adjust(now)
             self._heartbeats.announce(
                 is_ready=self._is_ready(),
-                is_standby=self._is_standby(),
+                is_standby=self._standby.is_standby
+                and not self._stopping.is_set(),
             )
             found = fleet_sizes(self._presence, self._settings)
             if sizes != found:
@@ -261,27 +247,6 @@
                 self._divide()
             await asyncio.sleep(_TICK_S)
 
-    async def _change_duty(self, now: Nanoseconds) -> None:
-        if self._stopping.is_set():
-            return
-        before = self._duty.is_entry
-        decide_duty(
-            self._duty,
-            self._presence,
-            self._heartbeats.own,
-            self._state.asked_at,
-            now,
-        )
-        is_entry = self._duty.is_entry
-        if is_entry == before:
-            return
-        log_event(Event.DUTY_CHANGED, 'entry' if is_entry else 'standby')
-        if is_entry:
-            self._following.start(self._settings.bounds.contact)
-        else:
-            withdraw_share(self._holding, now)
-            await self._following.stop()
-
     def _divide(self) -> None:
         table = self._state.table
         if table is None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -9,12 +9,22 @@
     Beat,
     ShareLoan,
     ShareRequest,
+    TokenGrant,
+    TokenRequest,
     WholeShareLoan,
     WholeShareRequest,
 )
 
 _FORMAT: Final = 3
-Message = Beat | ShareRequest | ShareLoan | WholeShareRequest | WholeShareLoan
+Message = (
+    Beat
+    | ShareRequest
+    | ShareLoan
+    | WholeShareRequest
+    | WholeShareLoan
+    | TokenRequest
+    | TokenGrant
+)
 
 _KINDS: Final = (
     Beat,
@@ -22,6 +32,8 @@
     ShareLoan,
     WholeShareRequest,
     WholeShareLoan,
+    TokenRequest,
+    TokenGrant,
 )
 _FIELD_TYPES: Final = {
     Beat: (str, int, int, str, str, str, bool, bool, float, int, list),
@@ -29,6 +41,8 @@
     ShareLoan: (str, int, dict),
     WholeShareRequest: (str, int),
     WholeShareLoan: (str, int),
+    TokenRequest: (str, int, str, int),
+    TokenGrant: (int, str, int),
 }
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any, Final
 
@@ -18,6 +18,8 @@
     PresenceState,
     ShareLoan,
     ShareRequest,
+    TokenGrant,
+    TokenRequest,
     WholeShareLoan,
     WholeShareRequest,
 )
@@ -33,11 +35,13 @@
     lend_share,
     measure_needs,
 )
+from geraniumshelf_core.shares.transfers import Reach, hand_out
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.messages import (
     decode_message,
     encode_message,
 )
+from geraniumshelf_daemon.edge.tokens import TokenQuestion
 from geraniumshelf_daemon.observability.events import Event, log_event
 
 # Addresses in one datagram, chosen at random; the registry holds all of them.
@@ -64,9 +68,13 @@
         clock: Callable[[], Nanoseconds],
         random: Random,
         quotas: Quotas,
+        regions: Mapping[str, str],
     ) -> None:
         self._state = state
         self._quotas = quotas
+        self._regions = regions
+        # Takes tokens that were asked for; set by whoever asks.
+        self.take_grant: Callable[[str, int, Nanoseconds], None] = _drop
         self._own = own
         self._port = port
         self._clock = clock
@@ -133,6 +141,18 @@
             self._due[ip] = now + interval
             self._send_to(ip, datagrams[interval])
 
+    def ask_tokens(self, question: TokenQuestion, now: Nanoseconds) -> None:
+        """Ask other entries for tokens of an account."""
+        datagram = encode_message(
+            TokenRequest(self._own.name, now, question.account, question.wanted)
+        )
+        region = self._regions.get(self._own.zone)
+        for neighbour in self._state.neighbours.values():
+            beat = neighbour.beat
+            is_near = self._regions.get(beat.zone) == region
+            if beat.is_ready and is_near is (question.reach is Reach.REGION):
+                self._send_to(beat.ip, datagram)
+
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
@@ -181,6 +201,10 @@
                     borrow_share(self._quotas, account, name, part, asked_at)
             case WholeShareRequest():
                 self._lend_whole(message)
+            case TokenRequest():
+                self._hand_out(message)
+            case TokenGrant(asked_at, name, granted):
+                self.take_grant(name, granted, asked_at)
             case WholeShareLoan(name, asked_at):
                 borrow_whole(self._quotas.holding, name, asked_at)
 
@@ -201,6 +225,17 @@
             loan = WholeShareLoan(self._own.name, request.asked_at)
             self._send_to(neighbour.beat.ip, encode_message(loan))
 
+    def _hand_out(self, request: TokenRequest) -> None:
+        neighbour = self._state.neighbours.get(request.name)
+        if neighbour is None:
+            return
+        granted = hand_out(
+            self._quotas, request.account, request.wanted, self._clock()
+        )
+        if granted:
+            grant = TokenGrant(request.asked_at, request.account, granted)
+            self._send_to(neighbour.beat.ip, encode_message(grant))
+
     def _lend(self, request: ShareRequest) -> None:
         neighbour = self._state.neighbours.get(request.name)
         if neighbour is None:
@@ -220,6 +255,10 @@
             self._send_to(neighbour.beat.ip, encode_message(loan))
 
 
+def _drop(_account: str, _tokens: int, _asked_at: Nanoseconds) -> None:
+    """Drop tokens that nobody waits for."""
+
+
 class _Receiver(asyncio.DatagramProtocol):
     def __init__(self, take: Callable[[bytes], None]) -> None:
         self._take = take
--- a/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
@@ -9,7 +9,7 @@
 from geraniumshelf_core.placement.commands import suspect_server
 from geraniumshelf_core.placement.queries import choose_server, usual_work
 from geraniumshelf_core.placement.state import Choice, Wish
-from geraniumshelf_core.shares.quotas import admit, wait_for_admission
+from geraniumshelf_core.shares.quotas import wait_for_admission
 from geraniumshelf_core.shares.retries import can_spend, spend
 from geraniumshelf_core.site.model import Repeatability
 from geraniumshelf_core.units import (
@@ -43,17 +43,10 @@
         self._clock = clock
         self._random = random
 
-    def check_quota(self, order: Order, now: Nanoseconds) -> None:
-        """Take a token of the request's account.
-
-        Raises:
-            RequestRefused: ``RATE_EXCEEDED`` if there is none.
-        """
-        quotas = self._state.quotas
-        if admit(quotas, order.account_name, now):
-            return
-        wait = wait_for_admission(quotas, order.account_name)
-        raise RequestRefused(
+    def over_quota(self, order: Order) -> RequestRefused:
+        """Return the refusal of a request whose account has no token."""
+        wait = wait_for_admission(self._state.quotas, order.account_name)
+        return RequestRefused(
             ResultCode.RATE_EXCEEDED,
             f'{order.account_name} has used its rate',
             retry_after_s=_rounded_s(round(wait * (1 + self._random.random()))),
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -32,6 +32,7 @@
 from geraniumshelf_daemon.edge.order import Order, check_request
 from geraniumshelf_daemon.edge.placing import Placer
 from geraniumshelf_daemon.edge.state import RelayState, RequestProgress
+from geraniumshelf_daemon.edge.tokens import TokenDesk
 from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.front.headers import relayed_headers
 from geraniumshelf_daemon.observability.events import Event, log_event
@@ -54,6 +55,7 @@
         self,
         state: RelayState,
         tools: AttemptTools,
+        desk: TokenDesk,
         clock: Callable[[], Nanoseconds],
         random: Random,
     ) -> None:
@@ -61,6 +63,7 @@
         self._tools = tools
         self._clock = clock
         self._random = random
+        self._desk = desk
         self._placer = Placer(state, clock, random)
         self._pacer = LinkPacer('', clock)
 
@@ -94,7 +97,9 @@
             # A request behind an answer that closes the connection counts as
             # not read, so it must not have been sent on.
             await caller.wait_turn()
-        self._placer.check_quota(order, now)
+        if not await self._desk.obtain(order.account_name):
+            raise self._placer.over_quota(order)
+        now = self._clock()
         earn(self._state.retries, order.service, now)
         upload = Upload(caller.body, self._pacer, has_body=caller.has_body)
         left = max(0, order.deadline - now)
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/standby.py
@@ -0,0 +1,61 @@
+"""Takes up and lays down the work for callers."""
+
+from collections.abc import Callable
+
+from geraniumshelf_core.presence.duty import Duty, decide_duty
+from geraniumshelf_core.presence.state import Beat, PresenceState
+from geraniumshelf_core.shares.holding import Holding, withdraw_share
+from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.edge.following import Following
+from geraniumshelf_daemon.edge.settings import EdgeSettings
+from geraniumshelf_daemon.edge.state import RelayState
+from geraniumshelf_daemon.observability.events import Event, log_event
+
+
+class Standby:
+    """Follows the store while callers need this daemon.
+
+    Args:
+        duty: Its duty.
+        following: What it does for callers.
+        presence: What is known of the other daemons.
+        holding: Whole shares of this daemon.
+        own_beat: Returns the newest beat.
+    """
+
+    def __init__(
+        self,
+        duty: Duty,
+        following: Following,
+        presence: PresenceState,
+        holding: Holding,
+        own_beat: Callable[[], Beat],
+    ) -> None:
+        self._duty = duty
+        self._following = following
+        self._presence = presence
+        self._holding = holding
+        self._own_beat = own_beat
+
+    @property
+    def is_standby(self) -> bool:
+        """Return whether other daemons take the callers."""
+        return self._duty.is_entry is False
+
+    async def adjust(
+        self, state: RelayState, settings: EdgeSettings, now: Nanoseconds
+    ) -> None:
+        """Begin or end to follow the store as callers need it."""
+        before = self._duty.is_entry
+        decide_duty(
+            self._duty, self._presence, self._own_beat(), state.asked_at, now
+        )
+        if self._duty.is_entry == before:
+            return
+        if self._duty.is_entry:
+            log_event(Event.DUTY_CHANGED, 'entry')
+            self._following.start(settings.bounds.contact)
+        else:
+            log_event(Event.DUTY_CHANGED, 'standby')
+            withdraw_share(self._holding, now)
+            await self._following.stop()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -2,14 +2,17 @@
 
 from attrs import define, field
 
+from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.errors import Ran
 from geraniumshelf_core.placement.state import PlacementState
+from geraniumshelf_core.shares.holding import Holding
 from geraniumshelf_core.shares.quotas import Quotas
 from geraniumshelf_core.shares.retries import RetryShares
 from geraniumshelf_core.site.routing import RoutingTable
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.edge.budget import LineBudget
 from geraniumshelf_daemon.edge.order import Order
+from geraniumshelf_daemon.edge.settings import EdgeBounds, EdgeSettings
 
 
 @define(eq=False)
@@ -37,6 +40,41 @@
     is_stopping: bool = False
 
 
+def build_state(settings: EdgeSettings) -> RelayState:
+    """Return the state of a daemon that has just started."""
+    bounds = settings.bounds
+    holding = Holding()
+    placement = PlacementState(
+        Place(settings.zone, settings.region),
+        settings.regions,
+        holding=holding,
+    )
+    quotas = Quotas(
+        bounds.quota_overshoot,
+        bounds.quota_slack,
+        ns_to_seconds(bounds.quota_window),
+        holding,
+    )
+    retries = RetryShares(
+        bounds.retry_ratio,
+        bounds.retry_slack,
+        ns_to_seconds(bounds.retry_window),
+        holding=holding,
+    )
+    return RelayState(placement, quotas, retries)
+
+
+def apply_bounds(state: RelayState, bounds: EdgeBounds) -> None:
+    """Take over changed bounds; the limits have to be divided anew."""
+    quotas, retries = state.quotas, state.retries
+    quotas.overshoot = bounds.quota_overshoot
+    quotas.slack = bounds.quota_slack
+    quotas.window_s = ns_to_seconds(bounds.quota_window)
+    retries.ratio = bounds.retry_ratio
+    retries.slack = bounds.retry_slack
+    retries.window_s = ns_to_seconds(bounds.retry_window)
+
+
 @define(eq=False)
 class RequestProgress:
     """What is known of a request while it is served.
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/tokens.py
@@ -0,0 +1,133 @@
+"""Requests that wait for a token of their account."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Final
+
+from attrs import define, field, frozen
+
+from geraniumshelf_core.shares.quotas import (
+    Quotas,
+    admit,
+    take_token,
+    wait_for_admission,
+)
+from geraniumshelf_core.shares.transfers import (
+    ASK_INTERVAL_NS,
+    MOST_WAIT_NS,
+    Reach,
+    Waiting,
+    accept,
+    begin_question,
+    end_in_vain,
+    is_hopeless,
+)
+from geraniumshelf_core.units import (
+    MILLISECOND_NS,
+    Nanoseconds,
+    ns_to_seconds,
+)
+
+# A waiting request looks at its bucket again after this time at the earliest.
+_LEAST_PAUSE_NS: Final[Nanoseconds] = 10 * MILLISECOND_NS
+
+
+@frozen
+class TokenQuestion:
+    """What other daemons are asked for.
+
+    Attributes:
+        account: Client account.
+        wanted: Tokens that requests wait for.
+        reach: Whom to ask.
+    """
+
+    account: str
+    wanted: int
+    reach: Reach
+
+
+@define(eq=False)
+class _Queue:
+    """Requests of one account.
+
+    Attributes:
+        waiting: Their number and tokens.
+        granted: Set when tokens of another daemon arrive.
+    """
+
+    waiting: Waiting = field(factory=Waiting)
+    granted: asyncio.Event = field(factory=asyncio.Event)
+
+
+class TokenDesk:
+    """Gives out the tokens of accounts to requests.
+
+    Args:
+        quotas: Shares of this daemon.
+        clock: Returns the current time, nanoseconds.
+        ask: Asks other daemons for tokens of an account.
+    """
+
+    def __init__(
+        self,
+        quotas: Quotas,
+        clock: Callable[[], Nanoseconds],
+        ask: Callable[[TokenQuestion, Nanoseconds], None],
+    ) -> None:
+        self._quotas = quotas
+        self._clock = clock
+        self._ask = ask
+        self._queues: dict[str, _Queue] = {}
+
+    async def obtain(self, account: str) -> bool:
+        """Return whether a request got a token, after a short wait at most."""
+        now = self._clock()
+        if admit(self._quotas, account, now):
+            return True
+        queue = self._queues.setdefault(account, _Queue())
+        waiting = queue.waiting
+        next_token = wait_for_admission(self._quotas, account)
+        if is_hopeless(waiting, next_token, now):
+            return False
+        waiting.count += 1
+        try:
+            return await self._wait(account, queue, now + MOST_WAIT_NS)
+        finally:
+            waiting.count -= 1
+
+    def take_grant(
+        self, account: str, tokens: int, asked_at: Nanoseconds
+    ) -> None:
+        """Take over tokens that another daemon handed out."""
+        queue = self._queues.get(account)
+        if queue is not None:
+            accept(queue.waiting, tokens, asked_at, self._clock())
+            queue.granted.set()
+
+    async def _wait(
+        self, account: str, queue: _Queue, until: Nanoseconds
+    ) -> bool:
+        waiting = queue.waiting
+        while True:
+            now = self._clock()
+            if waiting.granted:
+                waiting.granted -= 1
+                return True
+            if take_token(self._quotas, account, now):
+                return True
+            if now >= until:
+                end_in_vain(waiting, now)
+                return False
+            reach = begin_question(waiting, now)
+            if reach is not Reach.NOBODY:
+                self._ask(TokenQuestion(account, waiting.count, reach), now)
+            next_token = wait_for_admission(self._quotas, account)
+            pause = min(
+                until - now, max(next_token, _LEAST_PAUSE_NS), ASK_INTERVAL_NS
+            )
+            queue.granted.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(ns_to_seconds(pause)):
+                    await queue.granted.wait()
--- /dev/null
+++ b/tests/core/shares/test_transfers.py
@@ -0,0 +1,141 @@
+"""Guards the tokens that daemons hand to each other."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from geraniumshelf_core.shares.quotas import (
+    Quotas,
+    admit,
+    divide_quotas,
+    measure_needs,
+    take_token,
+)
+from geraniumshelf_core.shares.transfers import (
+    MOST_WAIT_NS,
+    Reach,
+    Waiting,
+    accept,
+    begin_question,
+    end_in_vain,
+    hand_out,
+    is_hopeless,
+)
+from geraniumshelf_core.site.model import SiteAccount
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS
+
+_DAEMONS = 4
+_WINDOW_S = 5
+_ACCOUNT = SiteAccount('shop', ('k',), 8, 10)
+_LIMIT = (8 * _WINDOW_S + 10) * 1.1 + 20
+_STEP_NS = 50 * MILLISECOND_NS
+
+
+def _fleet() -> list[Quotas]:
+    fleet = [Quotas(0.1, 20, _WINDOW_S) for _ in range(_DAEMONS)]
+    for quotas in fleet:
+        divide_quotas(quotas, [_ACCOUNT], _DAEMONS, 0)
+    return fleet
+
+
+def _most_in_window(times: list[int]) -> int:
+    width = _WINDOW_S * SECOND_NS
+    return max(
+        (sum(start <= at < start + width for at in times) for start in times),
+        default=0,
+    )
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    load=st.lists(
+        st.tuples(
+            st.integers(0, _DAEMONS - 1),
+            st.integers(0, 8),
+            st.integers(0, 6),
+            st.booleans(),
+        ),
+        min_size=100,
+        max_size=250,
+    )
+)
+def test_transfers_do_not_add_to_the_limit(
+    load: list[tuple[int, int, int, bool]],
+) -> None:
+    """A token that is spent twice would let an account exceed its rate."""
+    fleet = _fleet()
+    admitted: list[int] = []
+    for step, (daemon, requests, delay, is_lost) in enumerate(load):
+        now = step * _STEP_NS
+        waiting = Waiting()
+        for _ in range(requests):
+            if admit(fleet[daemon], 'shop', now):
+                admitted.append(now)
+            else:
+                waiting.count += 1
+        for lender, quotas in enumerate(fleet):
+            if lender == daemon or not waiting.count:
+                continue
+            given_out = hand_out(quotas, 'shop', waiting.count, now)
+            if not is_lost:
+                accept(waiting, given_out, now, now + delay * _STEP_NS)
+        admitted.extend([now] * waiting.granted)
+    assert _most_in_window(admitted) <= _LIMIT
+
+
+def test_burst_at_one_daemon_is_served_by_the_tokens_of_others() -> None:
+    """The part of one daemon is a token or two of a burst of ten."""
+    fleet = _fleet()
+    now = 10 * SECOND_NS
+    served = sum(admit(fleet[0], 'shop', now) for _ in range(12))
+    assert served < 12
+    waiting = Waiting(count=12 - served)
+    for quotas in fleet[1:]:
+        accept(waiting, hand_out(quotas, 'shop', 12, now), now, now)
+    assert served + waiting.granted == 12
+
+
+def test_daemon_keeps_what_its_callers_need_soon() -> None:
+    """Two busy daemons would take each other's tokens in turn."""
+    quotas = _fleet()[0]
+    for step in range(1, 100):
+        now = step * _STEP_NS
+        admit(quotas, 'shop', now)
+        measure_needs(quotas, now)
+    now = 30 * SECOND_NS
+    assert hand_out(quotas, 'shop', 100, now) >= 1
+    assert take_token(quotas, 'shop', now)
+
+
+def test_late_tokens_are_dropped() -> None:
+    """Tokens that are kept would add to the refilled bucket they left."""
+    waiting = Waiting(count=3)
+    accept(waiting, 3, 0, MOST_WAIT_NS + 1)
+    assert not waiting.granted
+    accept(waiting, 5, 0, MOST_WAIT_NS)
+    assert waiting.granted == 3
+
+
+def test_other_regions_are_asked_if_the_own_one_has_no_tokens() -> None:
+    """Tokens of all regions for one request would mostly be lost."""
+    waiting = Waiting()
+    steps = [step * _STEP_NS for step in range(4)]
+    asked = [begin_question(waiting, now) for now in steps]
+    assert asked == [
+        Reach.REGION,
+        Reach.NOBODY,
+        Reach.OTHER_REGIONS,
+        Reach.NOBODY,
+    ]
+    assert begin_question(waiting, SECOND_NS) is Reach.REGION
+
+
+def test_account_without_tokens_is_refused_at_once() -> None:
+    """Requests beyond a rate would each be held before they are refused."""
+    waiting = Waiting()
+    assert not is_hopeless(waiting, SECOND_NS, 0)
+    end_in_vain(waiting, 0)
+    assert is_hopeless(waiting, SECOND_NS, 1)
+    assert not is_hopeless(waiting, MOST_WAIT_NS // 2, 1)
+    waiting.count = 5
+    assert is_hopeless(waiting, MOST_WAIT_NS // 2, 1)
+    assert not is_hopeless(waiting, SECOND_NS, SECOND_NS)
--- /dev/null
+++ b/tests/daemon/edge/test_standby.py
@@ -0,0 +1,100 @@
+"""Guards what a daemon does while other daemons take the callers."""
+
+import asyncio
+from random import Random
+
+from attrs import evolve
+from tests.platform.world import BOUNDS, make_configuration
+
+from geraniumshelf_core.presence.commands import record_beat
+from geraniumshelf_core.presence.duty import Duty
+from geraniumshelf_core.presence.state import Beat, PresenceState
+from geraniumshelf_core.shares.holding import held_shares
+from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_daemon.edge.following import Following
+from geraniumshelf_daemon.edge.interface import (
+    ListedInstance,
+    SiteKind,
+    SiteView,
+)
+from geraniumshelf_daemon.edge.settings import EdgeSettings
+from geraniumshelf_daemon.edge.standby import Standby
+from geraniumshelf_daemon.edge.state import build_state
+from geraniumshelf_platform.records import decode_record
+
+_BOUND_S = 5
+_OWN = Beat('me', 1, 1, 'a1', 'ip me', 'me:80', is_ready=False, cores=0.4)
+_SETTINGS = EdgeSettings(
+    'me', 'a1', {'a1': 'a'}, '', 0.4, '', '', '', 0, (), '', '', BOUNDS
+)
+
+
+class _Store:
+    """Counts calls; watches wait until they are cancelled."""
+
+    def __init__(self) -> None:
+        self.calls: list[SiteKind] = []
+
+    async def list_records(
+        self, kind: SiteKind, *, may_be_old: bool = False
+    ) -> SiteView:
+        self.calls.append(kind)
+        if kind is not SiteKind.CONFIGURATION:
+            return SiteView(1, {})
+        record = decode_record(kind, 'main', make_configuration())
+        return SiteView(1, {'main': record})
+
+    async def watch_records(
+        self, kind: SiteKind, after: int, wait_s: float
+    ) -> SiteView:
+        await asyncio.sleep(_BOUND_S)
+        return SiteView(after, {})
+
+    async def register(self, instance: ListedInstance) -> None:
+        raise AssertionError(instance)
+
+
+def _entry(name: str, now: int) -> Beat:
+    return Beat(
+        name,
+        1,
+        now,
+        'a1',
+        f'ip {name}',
+        f'{name}:80',
+        is_ready=True,
+        cores=2.2,
+        next_in=SECOND_NS,
+    )
+
+
+def test_standby_calls_nobody_until_it_is_needed() -> None:
+    """Each daemon that follows the store adds to the calls to it."""
+
+    async def scenario() -> None:
+        presence = PresenceState('ip me', is_complete=True)
+        state, store = build_state(_SETTINGS), _Store()
+        following = Following(state, store, lambda: 0, Random(1), lambda: None)
+        standby = Standby(
+            Duty(0), following, presence, state.quotas.holding, lambda: _OWN
+        )
+        for name in ('l1', 'l2'):
+            record_beat(presence, _entry(name, 1), 0)
+        now = 5 * SECOND_NS
+        await standby.adjust(state, _SETTINGS, now)
+        assert standby.is_standby
+        assert held_shares(state.quotas.holding, now) == 0
+        assert not store.calls
+        del presence.neighbours['l2']
+        await standby.adjust(state, _SETTINGS, now)
+        async with asyncio.timeout(_BOUND_S):
+            while not following.is_loaded:
+                await asyncio.sleep(0.01)
+        assert not standby.is_standby
+        record_beat(presence, evolve(_entry('l2', 2)), now)
+        await standby.adjust(state, _SETTINGS, 10 * now)
+        assert standby.is_standby
+        assert state.table is None
+        assert not following.is_loaded
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/daemon/edge/test_tokens.py
@@ -0,0 +1,70 @@
+"""Guards the wait of requests for a token."""
+
+import asyncio
+
+from geraniumshelf_core.shares.quotas import Quotas, divide_quotas
+from geraniumshelf_core.shares.transfers import MOST_WAIT_NS, Reach
+from geraniumshelf_core.site.model import SiteAccount
+from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_daemon.edge.clock import boot_time
+from geraniumshelf_daemon.edge.tokens import TokenDesk, TokenQuestion
+
+_BOUND_S = 5
+
+
+def _quotas(rate: float) -> Quotas:
+    quotas = Quotas(0, 0, 5)
+    account = SiteAccount('shop', ('k',), rate, 1.1)
+    divide_quotas(quotas, [account], 1, boot_time())
+    return quotas
+
+
+async def _obtain(desk: TokenDesk) -> tuple[bool, int]:
+    begun = boot_time()
+    async with asyncio.timeout(_BOUND_S):
+        is_granted = await desk.obtain('shop')
+    return is_granted, boot_time() - begun
+
+
+def test_request_waits_for_a_token_that_comes_soon() -> None:
+    """After a loss of power buckets are empty, and requests came in vain."""
+    desk = TokenDesk(_quotas(20), boot_time, lambda _question, _now: None)
+    granted, _ = asyncio.run(_obtain(desk))
+    assert granted
+
+
+def test_request_takes_a_token_of_another_daemon() -> None:
+    """The own bucket of a small account refills too slowly."""
+    asked: list[TokenQuestion] = []
+
+    def answer(question: TokenQuestion, now: int) -> None:
+        asked.append(question)
+        desk.take_grant(question.account, question.wanted, now)
+
+    desk = TokenDesk(_quotas(0.1), boot_time, answer)
+    granted, _ = asyncio.run(_obtain(desk))
+    assert granted
+    assert asked == [TokenQuestion('shop', 1, Reach.REGION)]
+
+
+def test_account_beyond_its_rate_is_refused_soon_and_then_at_once() -> None:
+    """A request that is refused anyway must not be held."""
+
+    async def scenario() -> None:
+        desk = TokenDesk(_quotas(0.1), boot_time, lambda _question, _now: None)
+        granted, waited = await _obtain(desk)
+        assert not granted
+        assert MOST_WAIT_NS <= waited < SECOND_NS
+        granted, waited = await _obtain(desk)
+        assert not granted
+        assert waited < MOST_WAIT_NS // 3
+
+    asyncio.run(scenario())
+
+
+def test_grant_without_a_waiting_request_is_dropped() -> None:
+    """Its daemon has refilled the bucket that it left by then."""
+    desk = TokenDesk(_quotas(0.1), boot_time, lambda _question, _now: None)
+    desk.take_grant('shop', 1, boot_time())
+    granted, _ = asyncio.run(_obtain(desk))
+    assert not granted
