Fill quota buckets from the start of a daemon

Cause: after a loss of power buckets are empty, and they began to fill only when the configuration had been read. What an earlier run spent, it spent before this one started. The share of a standby that restarts rested from its first decision, with the same reason.

Ruled out: full buckets at a start, as an earlier run may have emptied them within the window of the limit.

Change: both count from the start of the daemon. The share of a daemon that has been a standby counts from now, as it was in use elsewhere.

--- a/packages/core/src/geraniumshelf_core/shares/quotas.py
+++ b/packages/core/src/geraniumshelf_core/shares/quotas.py
@@ -68,6 +68,8 @@
         slack: Requests that are allowed beyond the burst in a window.
         window_s: Length of that window, seconds.
         holding: Whole shares that this daemon holds.
+        started_at: Start of this daemon, before which its earlier run has
+            ended; ``None`` if it is not known.
         shares: Share by account name.
     """
 
@@ -75,6 +77,7 @@
     slack: float
     window_s: float
     holding: Holding = field(factory=Holding)
+    started_at: Nanoseconds | None = None
     shares: dict[str, AccountShare] = field(factory=dict)
 
 
@@ -90,12 +93,16 @@
         del quotas.shares[name]
     factor = (1 + quotas.overshoot) * _GIVEN_PART / daemons
     slack = quotas.slack * _GIVEN_PART / daemons
+    # The share of a daemon that was a standby has been in use elsewhere.
+    since = now if quotas.holding.lent_until else quotas.started_at
     for name, account in wanted.items():
         rate = account.rate * factor
         capacity = account.burst * factor + slack
         share = quotas.shares.get(name)
         if share is None:
-            bucket = ShareBucket(rate, capacity, filled_at=now)
+            bucket = ShareBucket(
+                rate, capacity, filled_at=now if since is None else since
+            )
             share = AccountShare(bucket, rate, capacity, measured_at=now)
             quotas.shares[name] = share
         share.rate = rate
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -77,7 +77,7 @@
         self._clock = clock
         self._random = random or Random()
         bounds = settings.bounds
-        self._state = build_state(settings)
+        self._state = build_state(settings, clock())
         self._presence = PresenceState(settings.ip)
         self._heartbeats = Heartbeats(
             self._presence,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/standby.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/standby.py
@@ -57,5 +57,7 @@
             self._following.start(settings.bounds.contact)
         else:
             log_event(Event.DUTY_CHANGED, 'standby')
-            withdraw_share(self._holding, now)
+            # An earlier run of this daemon ended before this one started.
+            since = self._duty.started_at if before is None else now
+            withdraw_share(self._holding, since)
             await self._following.stop()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -40,7 +40,7 @@
     is_stopping: bool = False
 
 
-def build_state(settings: EdgeSettings) -> RelayState:
+def build_state(settings: EdgeSettings, now: Nanoseconds) -> RelayState:
     """Return the state of a daemon that has just started."""
     bounds = settings.bounds
     holding = Holding()
@@ -54,6 +54,7 @@
         bounds.quota_slack,
         ns_to_seconds(bounds.quota_window),
         holding,
+        now,
     )
     retries = RetryShares(
         bounds.retry_ratio,
--- a/tests/core/shares/test_quotas.py
+++ b/tests/core/shares/test_quotas.py
@@ -3,6 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from geraniumshelf_core.shares.holding import withdraw_share
 from geraniumshelf_core.shares.loans import TERM_NS, wanted_loans
 from geraniumshelf_core.shares.quotas import (
     Quotas,
@@ -134,6 +135,17 @@
     assert _most_in_window(admitted) <= limit
 
 
+def test_tokens_count_from_the_start_of_the_daemon() -> None:
+    """Callers come back while the daemon still loads its configuration."""
+    quotas = Quotas(_OVERSHOOT, _SLACK, _WINDOW_S, started_at=0)
+    divide_quotas(quotas, [_ACCOUNT], _DAEMONS, SECOND_NS)
+    assert admit(quotas, 'shop', SECOND_NS)
+    lent = Quotas(_OVERSHOOT, _SLACK, _WINDOW_S, started_at=0)
+    withdraw_share(lent.holding, 0)
+    divide_quotas(lent, [_ACCOUNT], _DAEMONS, 2 * SECOND_NS)
+    assert not admit(lent, 'shop', 2 * SECOND_NS)
+
+
 def test_refusal_can_be_explained() -> None:
     """Without its inputs a refusal below the rate has no visible cause."""
     quotas = _quotas(0)
