--- a/packages/cli/src/geraniumshelf_cli/exits.py
+++ b/packages/cli/src/geraniumshelf_cli/exits.py
@@ -1,4 +1,4 @@
-"""Exit codes of the command line; ``docs/operate.md`` is their table."""
+"""Exit codes of the command line; ``docs/OPERATIONS.md`` is their table."""
 
 from enum import IntEnum, unique
 from typing import Final
--- a/tests/cli/test_runner.py
+++ b/tests/cli/test_runner.py
@@ -165,6 +165,6 @@
 
 def test_exit_codes_are_documented() -> None:
     """Scripts of operators rely on the table."""
-    text = (_FOLDER.parents[1] / 'docs/operate.md').read_text()
+    text = (_FOLDER.parents[1] / 'docs/OPERATIONS.md').read_text()
     for code in ExitCode:
         assert f'| {code.value} | `{code.name}` |' in text
