Name parts for what they do; ask standbys only when ready

Read as a newcomer: two classes were named TokenDesk, messages about shares stood among those about presence, and the relay also delivered answers. The account tokens, `shares/messages` and `edge/delivery` say what they are.

A daemon that was not ready asked standbys for their shares, where they rested; a test failed first.

--- a/packages/core/src/geraniumshelf_core/presence/queries.py
+++ b/packages/core/src/geraniumshelf_core/presence/queries.py
@@ -101,8 +101,11 @@
 def sponsored_standbys(state: PresenceState, own: Beat) -> list[Beat]:
     """Return the standbys of the zone whose shares this daemon asks for.
 
-    The entries of a zone divide its standbys among them.
+    The entries of a zone divide its standbys among them; a daemon that is not
+    ready has no use for more shares.
     """
+    if not own.is_ready:
+        return []
     beats = [
         neighbour.beat
         for neighbour in state.neighbours.values()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -39,7 +39,7 @@
     apply_bounds,
     build_state,
 )
-from geraniumshelf_daemon.edge.tokens import TokenDesk
+from geraniumshelf_daemon.edge.tokens import AccountTokens
 from geraniumshelf_daemon.front.server import FrontServer
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.observability.exposition import Exposition
@@ -88,8 +88,10 @@
             self._state.quotas,
             settings.regions,
         )
-        desk = TokenDesk(self._state.quotas, clock, self._heartbeats.ask_tokens)
-        self._heartbeats.take_grant = desk.take_grant
+        tokens = AccountTokens(
+            self._state.quotas, clock, self._heartbeats.ask_tokens
+        )
+        self._heartbeats.take_grant = tokens.take_grant
         self._duty = Duty(clock())
         self._following = Following(
             self._state, store, clock, self._random, self._divide
@@ -105,7 +107,7 @@
         relay = Relay(
             self._state,
             AttemptTools(self._pool, codec, clock),
-            desk,
+            tokens,
             clock,
             self._random,
         )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -5,8 +5,8 @@
 import cbor2
 from attrs import astuple
 
-from geraniumshelf_core.presence.state import (
-    Beat,
+from geraniumshelf_core.presence.state import Beat
+from geraniumshelf_core.shares.messages import (
     ShareLoan,
     ShareRequest,
     TokenGrant,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
@@ -13,9 +13,14 @@
     beat_interval,
     sponsored_standbys,
 )
-from geraniumshelf_core.presence.state import (
-    Beat,
-    PresenceState,
+from geraniumshelf_core.presence.state import Beat, PresenceState
+from geraniumshelf_core.shares.holding import (
+    borrow_whole,
+    held_shares,
+    lend_whole,
+)
+from geraniumshelf_core.shares.loans import wanted_loans
+from geraniumshelf_core.shares.messages import (
     ShareLoan,
     ShareRequest,
     TokenGrant,
@@ -23,12 +28,6 @@
     WholeShareLoan,
     WholeShareRequest,
 )
-from geraniumshelf_core.shares.holding import (
-    borrow_whole,
-    held_shares,
-    lend_whole,
-)
-from geraniumshelf_core.shares.loans import wanted_loans
 from geraniumshelf_core.shares.quotas import (
     Quotas,
     borrow_share,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -29,12 +29,12 @@
     ServerAttempt,
 )
 from geraniumshelf_daemon.edge.budget import log_request
+from geraniumshelf_daemon.edge.delivery import deliver
 from geraniumshelf_daemon.edge.order import Order, check_request
 from geraniumshelf_daemon.edge.placing import Placer
 from geraniumshelf_daemon.edge.state import RelayState, RequestProgress
-from geraniumshelf_daemon.edge.tokens import TokenDesk
+from geraniumshelf_daemon.edge.tokens import AccountTokens
 from geraniumshelf_daemon.front.caller import Caller
-from geraniumshelf_daemon.front.headers import relayed_headers
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.observability.metric_names import Metric
 from geraniumshelf_daemon.observability.metrics import count_metric, time_metric
@@ -55,7 +55,7 @@
         self,
         state: RelayState,
         tools: AttemptTools,
-        desk: TokenDesk,
+        tokens: AccountTokens,
         clock: Callable[[], Nanoseconds],
         random: Random,
     ) -> None:
@@ -63,7 +63,7 @@
         self._tools = tools
         self._clock = clock
         self._random = random
-        self._desk = desk
+        self._tokens = tokens
         self._placer = Placer(state, clock, random)
         self._pacer = LinkPacer('', clock)
 
@@ -97,7 +97,7 @@
             # A request behind an answer that closes the connection counts as
             # not read, so it must not have been sent on.
             await caller.wait_turn()
-        if not await self._desk.obtain(
+        if not await self._tokens.obtain(
             order.account_name, order.route.target_latency
         ):
             raise self._placer.refuse_over_quota(order, progress)
@@ -119,7 +119,7 @@
                 ran=progress.ran,
             ) from error
         try:
-            await _deliver(caller, attempt, answer)
+            await deliver(caller, attempt, answer)
         finally:
             attempt.close()
         self._log_served(order, progress, answer)
@@ -265,23 +265,6 @@
         )
 
 
-async def _deliver(
-    caller: Caller, attempt: ServerAttempt, answer: Answer
-) -> None:
-    headers = relayed_headers(answer.headers)
-    if answer.is_whole:
-        if caller.method != 'HEAD':
-            headers['Content-Length'] = str(len(answer.body))
-        await caller.reply.answer(
-            answer.status, answer.reason, headers, answer.body
-        )
-        return
-    await caller.reply.begin(answer.status, answer.reason, headers, answer.body)
-    while chunk := await attempt.next_chunk():
-        await caller.reply.write(chunk)
-    await caller.reply.end()
-
-
 def _outcome(failure: AttemptFailed) -> Outcome:
     match failure.code:
         case ResultCode.BACKEND_REFUSED if failure.is_failure:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/tokens.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/tokens.py
@@ -61,7 +61,7 @@
     granted: asyncio.Event = field(factory=asyncio.Event)
 
 
-class TokenDesk:
+class AccountTokens:
     """Gives out the tokens of accounts to requests.
 
     Args:
--- a/tests/core/presence/test_duty.py
+++ b/tests/core/presence/test_duty.py
@@ -147,3 +147,9 @@
         state = zone_state(ready(other), *others)
         asked += [one.name for one in sponsored_standbys(state, ready(own))]
     assert sorted(asked) == ['s0', 's1', 's2', 's3', 's4']
+
+
+def test_daemon_that_is_not_ready_asks_no_standby() -> None:
+    """Shares would rest at a daemon that takes no callers."""
+    state = zone_state(ready('l1'), standby('s1'))
+    assert not sponsored_standbys(state, beat('l2', _LARGE))
--- a/tests/daemon/edge/test_tokens.py
+++ b/tests/daemon/edge/test_tokens.py
@@ -7,7 +7,7 @@
 from geraniumshelf_core.site.model import SiteAccount
 from geraniumshelf_core.units import SECOND_NS
 from geraniumshelf_daemon.edge.clock import boot_time
-from geraniumshelf_daemon.edge.tokens import TokenDesk, TokenQuestion
+from geraniumshelf_daemon.edge.tokens import AccountTokens, TokenQuestion
 
 _BOUND_S = 5
 
@@ -19,17 +19,17 @@
     return quotas
 
 
-async def _obtain(desk: TokenDesk) -> tuple[bool, int]:
+async def _obtain(tokens: AccountTokens) -> tuple[bool, int]:
     begun = boot_time()
     async with asyncio.timeout(_BOUND_S):
-        is_granted = await desk.obtain('shop', 4 * MOST_WAIT_NS)
+        is_granted = await tokens.obtain('shop', 4 * MOST_WAIT_NS)
     return is_granted, boot_time() - begun
 
 
 def test_request_waits_for_a_token_that_comes_soon() -> None:
     """After a loss of power buckets are empty, and requests came in vain."""
-    desk = TokenDesk(_quotas(20), boot_time, lambda _question, _now: None)
-    granted, _ = asyncio.run(_obtain(desk))
+    tokens = AccountTokens(_quotas(20), boot_time, lambda _question, _now: None)
+    granted, _ = asyncio.run(_obtain(tokens))
     assert granted
 
 
@@ -39,10 +39,10 @@
 
     def answer(question: TokenQuestion, now: int) -> None:
         asked.append(question)
-        desk.take_grant(question.account, question.wanted, now)
+        tokens.take_grant(question.account, question.wanted, now)
 
-    desk = TokenDesk(_quotas(0.1), boot_time, answer)
-    granted, _ = asyncio.run(_obtain(desk))
+    tokens = AccountTokens(_quotas(0.1), boot_time, answer)
+    granted, _ = asyncio.run(_obtain(tokens))
     assert granted
     assert asked == [TokenQuestion('shop', 1, Reach.REGION)]
 
@@ -51,11 +51,13 @@
     """A request that is refused anyway must not be held."""
 
     async def scenario() -> None:
-        desk = TokenDesk(_quotas(0.1), boot_time, lambda _question, _now: None)
-        granted, waited = await _obtain(desk)
+        tokens = AccountTokens(
+            _quotas(0.1), boot_time, lambda _question, _now: None
+        )
+        granted, waited = await _obtain(tokens)
         assert not granted
         assert MOST_WAIT_NS <= waited < SECOND_NS
-        granted, waited = await _obtain(desk)
+        granted, waited = await _obtain(tokens)
         assert not granted
         assert waited < MOST_WAIT_NS // 3
 
@@ -64,7 +66,9 @@
 
 def test_grant_without_a_waiting_request_is_dropped() -> None:
     """Its daemon has refilled the bucket that it left by then."""
-    desk = TokenDesk(_quotas(0.1), boot_time, lambda _question, _now: None)
-    desk.take_grant('shop', 1, boot_time())
-    granted, _ = asyncio.run(_obtain(desk))
+    tokens = AccountTokens(
+        _quotas(0.1), boot_time, lambda _question, _now: None
+    )
+    tokens.take_grant('shop', 1, boot_time())
+    granted, _ = asyncio.run(_obtain(tokens))
     assert not granted
