Let standbys join when the entries of a zone are busy

Cause: the entries of a zone were chosen by cores alone, four of them, whatever the callers send. On a deployment with more callers in a zone they would be full beside idle daemons.

Ruled out: processor time as the measure; what a process counts there and what the platform grants it are not the same clock.

Change: heartbeats tell the smoothed rate of requests. A zone wants the cores that its rate needs at 2.5 ms each and 40% use, four at least; daemons and directory use the same rule. Numbers in datagrams may be whole; a first beat with a rate of 0 would have been refused, which the new test of all messages shows.

--- a/packages/core/src/geraniumshelf_core/presence/commands.py
+++ b/packages/core/src/geraniumshelf_core/presence/commands.py
@@ -1,13 +1,20 @@
 """Changes to what a daemon knows of the others."""
 
+from typing import Final
+
 from geraniumshelf_core.presence.queries import silence_limit
 from geraniumshelf_core.presence.state import (
     Beat,
     Member,
     Neighbour,
     PresenceState,
+    RequestRate,
 )
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+
+# Longer than a burst of one caller, so that entries don't change with it.
+_RATE_WINDOW_S: Final = 5
+_RATE_WINDOW_NS: Final[Nanoseconds] = _RATE_WINDOW_S * SECOND_NS
 
 
 def record_beat(state: PresenceState, beat: Beat, now: Nanoseconds) -> bool:
@@ -61,6 +68,17 @@
     return silent
 
 
+def measure_rate(rate: RequestRate, counted: int, now: Nanoseconds) -> None:
+    """Take over the number of requests since the start."""
+    age = now - rate.measured_at
+    if age <= 0:
+        return
+    recent = (counted - rate.counted) * SECOND_NS / age
+    rate.per_s += min(1, age / _RATE_WINDOW_NS) * (recent - rate.per_s)
+    rate.counted = counted
+    rate.measured_at = now
+
+
 def _is_overtaken(beat: Beat, newest: Beat) -> bool:
     return (
         beat.incarnation == newest.incarnation
--- a/packages/core/src/geraniumshelf_core/presence/duty.py
+++ b/packages/core/src/geraniumshelf_core/presence/duty.py
@@ -14,6 +14,7 @@
     ENTRY_CORES,
     LEAST_ENTRIES,
     rank,
+    wanted_cores,
 )
 from geraniumshelf_core.presence.state import Beat, Neighbour, PresenceState
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
@@ -94,7 +95,13 @@
         and rank(name, member) < own_rank
         and _is_able(presence.neighbours.get(name), now, is_unheard=is_settling)
     ]
-    return len(before) < LEAST_ENTRIES or sum(before) < ENTRY_CORES
+    near = [
+        one.beat
+        for one in presence.neighbours.values()
+        if one.beat.zone == own.zone
+    ]
+    wanted = wanted_cores((own, *near))
+    return len(before) < LEAST_ENTRIES or sum(before) < wanted
 
 
 def _is_able(
--- a/packages/core/src/geraniumshelf_core/presence/queries.py
+++ b/packages/core/src/geraniumshelf_core/presence/queries.py
@@ -13,9 +13,14 @@
 # With fewer entry instances than this in its zone, a caller also gets those
 # of the region, so that the loss of one instance is not the loss of all.
 LEAST_ENTRIES: Final = 2
-# Cores of the entries of a zone together: some 1,600 requests a second at
-# 2.5 ms of processor time each.
+# Least cores of the entries of a zone together, so that they bear callers who
+# come back at once.
 ENTRY_CORES: Final = 4.0
+# Core seconds of one request, measured on the smaller deployments.
+_REQUEST_CORES: Final = 0.0025
+# Part of their cores that the entries of a zone use; the rest covers bursts
+# until a standby has loaded.
+_MOST_BUSY: Final = 0.4
 _MOST_ENTRIES: Final = 64
 _SHORTEST_INTERVAL_MS: Final = 500
 _SHORTEST_INTERVAL_NS: Final[Nanoseconds] = (
@@ -90,14 +95,21 @@
     """
     chosen: list[Beat] = []
     ordered = sorted(beats, key=lambda beat: rank(beat.name, beat.member))
+    wanted = wanted_cores(ordered)
     for beat in ordered:
         cores = sum(one.cores for one in chosen)
-        if len(chosen) >= LEAST_ENTRIES and cores >= ENTRY_CORES:
+        if len(chosen) >= LEAST_ENTRIES and cores >= wanted:
             break
         chosen.append(beat)
     return chosen
 
 
+def wanted_cores(beats: Iterable[Beat]) -> float:
+    """Return how many cores the entries of a zone need for its callers."""
+    rate = sum(beat.rate for beat in beats)
+    return max(ENTRY_CORES, rate * _REQUEST_CORES / _MOST_BUSY)
+
+
 def sponsored_standbys(state: PresenceState, own: Beat) -> list[Beat]:
     """Return the standbys of the zone whose shares this daemon asks for.
 
--- a/packages/core/src/geraniumshelf_core/presence/state.py
+++ b/packages/core/src/geraniumshelf_core/presence/state.py
@@ -32,6 +32,7 @@
         is_ready: Whether it takes callers.
         is_standby: Whether it takes none because others do, and would.
         cores: Processor that its platform gives it, in cores.
+        rate: Requests a second that callers send to it, smoothed.
         next_in: Time until its next beat to the same instance.
         known: IP addresses of some instances that it knows.
     """
@@ -45,6 +46,7 @@
     is_ready: bool
     is_standby: bool = False
     cores: float = 1
+    rate: float = 0
     next_in: Nanoseconds = 0
     known: tuple[str, ...] = ()
 
@@ -54,6 +56,21 @@
         return Member(self.zone, self.cores)
 
 
+@define
+class RequestRate:
+    """Requests that callers send to this daemon.
+
+    Attributes:
+        per_s: Smoothed number in a second.
+        counted: Requests since the start, as of the last measurement.
+        measured_at: Time of the last measurement.
+    """
+
+    per_s: float = 0
+    counted: int = 0
+    measured_at: Nanoseconds = 0
+
+
 @define
 class Neighbour:
     """Another daemon.
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -10,10 +10,16 @@
 
 from geraniumshelf_core.presence.commands import (
     add_target,
+    measure_rate,
     register_instance,
 )
 from geraniumshelf_core.presence.duty import Duty
-from geraniumshelf_core.presence.state import Beat, Member, PresenceState
+from geraniumshelf_core.presence.state import (
+    Beat,
+    Member,
+    PresenceState,
+    RequestRate,
+)
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
     Nanoseconds,
@@ -93,6 +99,7 @@
         )
         self._heartbeats.take_grant = tokens.take_grant
         self._duty = Duty(clock())
+        self._rate = RequestRate(measured_at=clock())
         self._following = Following(
             self._state, store, clock, self._random, self._divide
         )
@@ -238,10 +245,12 @@
                 await self._standby.adjust(self._state, self._settings, now)
             self._following.forget_removed(now)
             self._spills.adjust(now)
+            measure_rate(self._rate, self._state.asked, now)
             self._heartbeats.announce(
                 is_ready=self._is_ready(),
                 is_standby=self._standby.is_standby
                 and not self._stopping.is_set(),
+                rate=self._rate.per_s,
             )
             found = fleet_sizes(self._presence, self._settings)
             if sizes != found:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -35,8 +35,22 @@
     TokenRequest,
     TokenGrant,
 )
+_NUMBER: Final = (int, float)
 _FIELD_TYPES: Final = {
-    Beat: (str, int, int, str, str, str, bool, bool, float, int, list),
+    Beat: (
+        str,
+        int,
+        int,
+        str,
+        str,
+        str,
+        bool,
+        bool,
+        _NUMBER,
+        _NUMBER,
+        int,
+        list,
+    ),
     ShareRequest: (str, int, dict),
     ShareLoan: (str, int, dict),
     WholeShareRequest: (str, int),
--- a/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
@@ -112,9 +112,18 @@
             spread = 1 + _INTERVAL_SPREAD * (self._random.random() - 0.5)
             await asyncio.sleep(_ROUND_S * spread)
 
-    def announce(self, *, is_ready: bool, is_standby: bool) -> None:
-        """Tell all others at once whether this daemon takes callers."""
-        own = self._own
+    def announce(
+        self, *, is_ready: bool, is_standby: bool, rate: float = 0
+    ) -> None:
+        """Tell all others at once whether this daemon takes callers.
+
+        Args:
+            is_ready: Whether it takes callers.
+            is_standby: Whether it would.
+            rate: Requests a second that come to it; told with the next beat.
+        """
+        own = evolve(self._own, rate=float(rate))
+        self._own = own
         if (is_ready, is_standby) != (own.is_ready, own.is_standby):
             self._own = evolve(own, is_ready=is_ready, is_standby=is_standby)
             self._due.clear()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -73,6 +73,7 @@
         started = self._clock()
         self._state.running += 1
         self._state.asked_at = started
+        self._state.asked += 1
         count_metric(Metric.REQUESTS)
         try:
             await self._serve(caller, progress)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -27,6 +27,7 @@
         lines: Budget of log lines.
         running: Requests that run now.
         asked_at: Time of the last request of a caller.
+        asked: Requests of callers since the start.
         is_stopping: Whether a graceful shutdown has begun.
     """
 
@@ -37,6 +38,7 @@
     lines: LineBudget = field(factory=LineBudget)
     running: int = 0
     asked_at: Nanoseconds = 0
+    asked: int = 0
     is_stopping: bool = False
 
 
--- a/tests/core/presence/test_duty.py
+++ b/tests/core/presence/test_duty.py
@@ -4,6 +4,7 @@
 
 from geraniumshelf_core.presence.commands import (
     forget_silent,
+    measure_rate,
     record_beat,
     register_instance,
 )
@@ -12,7 +13,12 @@
     entry_addresses,
     sponsored_standbys,
 )
-from geraniumshelf_core.presence.state import Beat, Member, PresenceState
+from geraniumshelf_core.presence.state import (
+    Beat,
+    Member,
+    PresenceState,
+    RequestRate,
+)
 from geraniumshelf_core.units import SECOND_NS
 
 _REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
@@ -153,3 +159,29 @@
     """Shares would rest at a daemon that takes no callers."""
     state = zone_state(ready('l1'), standby('s1'))
     assert not sponsored_standbys(state, beat('l2', _LARGE))
+
+
+def test_standby_joins_when_the_entries_are_busy() -> None:
+    """The entries of a busy zone would be full beside idle daemons."""
+    busy = [evolve(ready(name), rate=400.0) for name in ('l1', 'l2')]
+    assert decide(zone_state(*busy)) is True
+    usual = [evolve(ready(name), rate=200.0) for name in ('l1', 'l2')]
+    assert decide(zone_state(*usual)) is False
+
+
+def test_directory_names_more_daemons_when_the_entries_are_busy() -> None:
+    """A standby that joined would get no callers."""
+    busy = [evolve(ready(name), rate=400.0) for name in ('l1', 'l2')]
+    state = zone_state(*busy, ready('s1', _SMALL))
+    found = entry_addresses(state, beat('me', zone='b1'), 'a1', _REGIONS)
+    assert found == ('l1:80', 'l2:80', 's1:80')
+
+
+def test_rate_is_smoothed() -> None:
+    """Entries would change with each burst of one caller."""
+    rate = RequestRate()
+    measure_rate(rate, 100, SECOND_NS // 4)
+    assert 0 < rate.per_s <= 20
+    for step in range(2, 200):
+        measure_rate(rate, 100 * step, step * SECOND_NS // 4)
+    assert 390 < rate.per_s < 410
--- /dev/null
+++ b/tests/daemon/edge/test_messages.py
@@ -0,0 +1,64 @@
+"""Guards the datagrams between daemons."""
+
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumshelf_core.presence.state import Beat
+from geraniumshelf_core.shares.messages import (
+    ShareLoan,
+    ShareRequest,
+    TokenGrant,
+    TokenRequest,
+    WholeShareLoan,
+    WholeShareRequest,
+)
+from geraniumshelf_daemon.edge.messages import (
+    Message,
+    decode_message,
+    encode_message,
+)
+
+_FIRST_BEAT = Beat('n1', 7, 0, 'a1', '10.0.0.1', '10.0.0.1:80', is_ready=False)
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        _FIRST_BEAT,
+        Beat('n1', 7, 1, 'a1', 'i', 'f', True, False, 0.43, 12.5, 5, ('i2',)),
+        ShareRequest('n1', 5, {'shop': 0.5}),
+        ShareLoan('n1', 5, {'shop': 0.25}),
+        WholeShareRequest('n1', 5),
+        WholeShareLoan('n1', 5),
+        TokenRequest('n1', 5, 'shop', 3),
+        TokenGrant(5, 'shop', 2),
+    ],
+)
+def test_message_comes_back(message: Message) -> None:
+    """A message that is refused by its receiver is lost without a trace."""
+    assert decode_message(encode_message(message)) == message
+
+
+@given(datagram=st.binary(max_size=200))
+def test_stray_bytes_are_no_message(datagram: bytes) -> None:
+    """A stray datagram must not end the task that receives them."""
+    assert decode_message(datagram) is None
+
+
+@given(
+    version=st.integers(0, 4),
+    kind=st.integers(-8, 9),
+    fields=st.lists(
+        st.one_of(st.text(), st.integers(), st.booleans(), st.none()),
+        max_size=12,
+    ),
+)
+def test_message_with_odd_fields_is_refused_or_typed(
+    version: int, kind: int, fields: list[object]
+) -> None:
+    """A field of another type would fail later, in a decision."""
+    datagram = cbor2.dumps((version, kind, *fields))
+    found = decode_message(datagram)
+    assert found is None or encode_message(found)
