Decide about the first duty as soon as the registry is read

Since daemons may stand by, one that starts follows the store only after its decision, which was made every 250 ms.

Ruled out: following the store before the decision; every standby would list three kinds at each start. Holding requests until the configuration is there is open.

Change: a daemon that has not decided looks every 20 ms.

Figures: the test takes the shortest of five starts; with 250 ms it fails.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -53,6 +53,9 @@
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 
 _TICK_S: Final = 0.25
+# A daemon that starts decides as soon as it has read the registry; callers that
+# come before it has loaded are refused.
+_FIRST_TICK_S: Final = 0.02
 # Three times the longest way between regions and back.
 _CONNECT_TIMEOUT_MS: Final = 300
 _CONNECT_TIMEOUT_NS: Final[Nanoseconds] = _CONNECT_TIMEOUT_MS * MILLISECOND_NS
@@ -256,7 +259,8 @@
             if sizes != found:
                 sizes = found
                 self._divide()
-            await asyncio.sleep(_TICK_S)
+            pause = _TICK_S if self._standby.has_decided else _FIRST_TICK_S
+            await asyncio.sleep(pause)
 
     def _divide(self) -> None:
         table = self._state.table
--- a/packages/daemon/src/geraniumshelf_daemon/edge/standby.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/standby.py
@@ -37,6 +37,11 @@
         self._holding = holding
         self._own_beat = own_beat
 
+    @property
+    def has_decided(self) -> bool:
+        """Return whether it is known if callers need this daemon."""
+        return self._duty.is_entry is not None
+
     @property
     def is_standby(self) -> bool:
         """Return whether other daemons take the callers."""
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -25,6 +25,8 @@
 from geraniumshelf_platform.store import ObjectStore
 
 _CORES = {'l1': 2.15, 'l2': 2.15, 's1': 0.43, 's2': 0.43}
+# Time between two looks of a daemon at its duties.
+_DUTY_INTERVAL_S = 0.25
 # Two standbys and two entries divide a rate of 8 a second and a burst of 8.
 _ACCOUNT = {
     'name': 'shop',
@@ -164,3 +166,39 @@
         assert statuses.count(200) >= 20
 
     _run_fleet(scenario)
+
+
+async def _time_to_load() -> float:
+    """Return how long a restarted daemon takes to follow the store."""
+    store = StoreStandin()
+    instance = {'zone': 'a1', 'address': '127.0.0.1', 'cores': 0.86}
+    store.put('geraniumshelf-instances', 'n1', instance)
+    store.put('config', 'main', make_configuration())
+    settings = make_settings(store.listen(), cores=0.86)
+    daemon = EdgeDaemon(
+        settings,
+        ObjectStore(settings.store_address, settings.ip),
+        PlatformHeaders(),
+    )
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    await daemon.start()
+    try:
+        async with asyncio.timeout(BOUND_S):
+            while not any('config?watch' in call for call in store.calls):
+                await asyncio.sleep(0.005)
+        return loop.time() - begun
+    finally:
+        await daemon.close()
+        await store.close()
+
+
+def test_restarted_entry_loads_as_soon_as_it_knows_the_others() -> None:
+    """After a loss of power each tenth of a second refuses callers."""
+
+    async def scenario() -> None:
+        # Other work on the machine delays some starts.
+        taken = [await _time_to_load() for _ in range(5)]
+        assert min(taken) < _DUTY_INTERVAL_S
+
+    run(scenario)
