Share the beats of a zone; remove an unused property; split a long test module

`zone_beats` serves the duty and the sponsoring of standbys, which listed the same beats. `Following.is_running` had no caller. One daemon of the allowance simulation has a module of its own. No behaviour and no assertion changes.

--- a/packages/core/src/geraniumshelf_core/presence/duty.py
+++ b/packages/core/src/geraniumshelf_core/presence/duty.py
@@ -15,6 +15,7 @@
     LEAST_ENTRIES,
     rank,
     wanted_cores,
+    zone_beats,
 )
 from geraniumshelf_core.presence.state import Beat, Neighbour, PresenceState
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
@@ -95,12 +96,7 @@
         and rank(name, member) < own_rank
         and _is_able(presence.neighbours.get(name), now, is_unheard=is_settling)
     ]
-    near = [
-        one.beat
-        for one in presence.neighbours.values()
-        if one.beat.zone == own.zone
-    ]
-    wanted = wanted_cores((own, *near))
+    wanted = wanted_cores((own, *zone_beats(presence, own.zone)))
     return len(before) < LEAST_ENTRIES or sum(before) < wanted
 
 
--- a/packages/core/src/geraniumshelf_core/presence/queries.py
+++ b/packages/core/src/geraniumshelf_core/presence/queries.py
@@ -110,6 +110,15 @@
     return max(ENTRY_CORES, rate * _REQUEST_CORES / _MOST_BUSY)
 
 
+def zone_beats(state: PresenceState, zone: str) -> list[Beat]:
+    """Return the newest beats of the other daemons of a zone."""
+    return [
+        neighbour.beat
+        for neighbour in state.neighbours.values()
+        if neighbour.beat.zone == zone
+    ]
+
+
 def sponsored_standbys(state: PresenceState, own: Beat) -> list[Beat]:
     """Return the standbys of the zone whose shares this daemon asks for.
 
@@ -118,11 +127,7 @@
     """
     if not own.is_ready:
         return []
-    beats = [
-        neighbour.beat
-        for neighbour in state.neighbours.values()
-        if neighbour.beat.zone == own.zone
-    ]
+    beats = zone_beats(state, own.zone)
     entries = sorted(
         [own.name, *(beat.name for beat in beats if beat.is_ready)]
     )
--- a/packages/core/src/geraniumshelf_core/shares/transfers.py
+++ b/packages/core/src/geraniumshelf_core/shares/transfers.py
@@ -24,8 +24,8 @@
 MOST_WAIT_NS: Final[Nanoseconds] = _MOST_WAIT_MS * MILLISECOND_NS
 # The other regions are asked this long after the own one, which is three times
 # the way between two zones and back.
-ASK_INTERVAL_MS: Final = 30
-ASK_INTERVAL_NS: Final[Nanoseconds] = ASK_INTERVAL_MS * MILLISECOND_NS
+_ASK_INTERVAL_MS: Final = 30
+ASK_INTERVAL_NS: Final[Nanoseconds] = _ASK_INTERVAL_MS * MILLISECOND_NS
 # After that, for the longest way between regions and back, nobody is asked.
 _FAR_ANSWER_NS: Final[Nanoseconds] = 100 * MILLISECOND_NS
 # After a wait in vain later requests are refused at once for this time.
--- a/packages/daemon/src/geraniumshelf_daemon/edge/following.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/following.py
@@ -38,11 +38,6 @@
         self._servers = ServerSink(state)
         self._tasks: list[asyncio.Task[None]] = []
 
-    @property
-    def is_running(self) -> bool:
-        """Return whether the store is followed."""
-        return bool(self._tasks)
-
     @property
     def is_loaded(self) -> bool:
         """Return whether requests can be served."""
--- a/tests/core/allowance/test_invariant.py
+++ b/tests/core/allowance/test_invariant.py
@@ -16,7 +16,8 @@
     SLOTS,
     TWO_SLOTS,
 )
-from tests.core.allowance.world import Revision, World
+from tests.core.allowance.node import Revision
+from tests.core.allowance.world import World
 
 from geraniumshelf_core.units import MILLISECOND_NS
 
--- a/tests/core/allowance/test_loans.py
+++ b/tests/core/allowance/test_loans.py
@@ -7,7 +7,8 @@
     SLOTS,
     TWO_SLOTS,
 )
-from tests.core.allowance.world import Revision, World
+from tests.core.allowance.node import Revision
+from tests.core.allowance.world import World
 
 from geraniumshelf_core.allowance import commands
 from geraniumshelf_core.allowance.state import FLOOR_TERM
--- a/tests/core/allowance/world.py
+++ b/tests/core/allowance/world.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import Factory, define, evolve
+from attrs import evolve
+from tests.core.allowance.node import ACCOUNT, Node, Revision
 
 from geraniumshelf_core.allowance import commands
 from geraniumshelf_core.allowance.floors import (
     Floor,
-    Layout,
     slot_floor,
 )
 from geraniumshelf_core.allowance.layouts import (
@@ -22,47 +22,14 @@
     QUARANTINE,
     TOKEN_TERM,
     Book,
-    Limit,
     Loan,
 )
 from geraniumshelf_core.units import MICRO_TOKENS, SECOND_NS
 
-ACCOUNT = 'vendor'
 # A lowered total lets loans of the former one run out.
 OUTSTANDING_NS = 5 * SECOND_NS
 
 
-@define
-class Revision:
-    """Totals of the limit and the declared slots."""
-
-    rate: int
-    burst: int
-    layout: Layout
-
-
-@define
-class Node:
-    """A daemon with its book and its view of the others."""
-
-    name: str
-    slots: tuple[str, ...]
-    drift_ppm: int
-    book: Book
-    usable_at: int = 0
-    layouts: LayoutHistory = Factory(LayoutHistory)
-    revision: int = 0
-    heard: dict[str, int] = Factory(dict)
-    claimed: int = 0
-    unlike: UnlikeClaims | None = None
-    asked: dict[int, int] = Factory(dict)
-    settled: list[tuple[str, int]] = Factory(list)
-
-    @property
-    def limit(self) -> Limit:
-        return self.book.limits[ACCOUNT]
-
-
 class World:
     """The daemons, the messages on the way and the record of admissions."""
 
