Take over connections that wait to be accepted at a planned stop

Cause: the kernel resets the connections of the accept queue when the port closes, and requests may already have been sent on them. An idle connection was closed although a request waited unread in its socket buffer.

Ruled out: a longer time before the port closes; under load the queue is never empty.

Change: the connections of the queue are accepted before the port closes, and a connection with unread bytes isn't idle.

A connection whose handshake ends after the last accept is still reset; nothing was read from it.

--- a/packages/daemon/src/geraniumshelf_daemon/front/connection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/connection.py
@@ -1,6 +1,7 @@
 """One connection of a caller, with several requests under way."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -101,8 +102,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is under way."""
-        return not self._under_way
+        """Return whether no request is under way or waits to be read."""
+        return not self._under_way and not self._has_unread()
 
     async def run(self) -> None:
         """Serve requests until the connection ends and all are answered."""
@@ -127,6 +128,18 @@
         self._stream.close()
         self._on_close(self)
 
+    def _has_unread(self) -> bool:
+        if self._stream.closed():
+            return False
+        try:
+            waiting = self._stream.socket.recv(
+                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except OSError:
+            # Nothing has arrived, or the caller has reset the connection.
+            return False
+        return bool(waiting)
+
     async def _read_request(self) -> bool:
         connection = RequestConnection(
             self._stream, self._params, self._context
--- a/packages/daemon/src/geraniumshelf_daemon/front/server.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/server.py
@@ -51,6 +51,7 @@
         # Tornado's timeout begins with the last request, not with its answer.
         self._http.conn_params.header_timeout = None
         self._http.idle_timeout_s = idle_timeout_s
+        self._sockets: list[socket] = []
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
         """Change the idle time of connections that open later."""
@@ -63,6 +64,7 @@
             OSError: If the address is in use.
         """
         sockets = bind_sockets(port, host)
+        self._sockets.extend(sockets)
         self._http.add_sockets(sockets)
         return int(sockets[0].getsockname()[1])
 
@@ -80,7 +82,14 @@
         return self._http.close_idle()
 
     def stop_accepting(self) -> None:
-        """Close the port; connections stay open."""
+        """Close the port; connections stay open.
+
+        Connections that the kernel has accepted are taken over first, as they
+        would be reset with the port, and requests may have been sent on them.
+        """
+        for listening in self._sockets:
+            self._accept_waiting(listening)
+        self._sockets.clear()
         self._http.stop()
 
     async def close(self) -> None:
@@ -88,6 +97,18 @@
         self._http.stop()
         await self._http.close_all_connections()
 
+    def _accept_waiting(self, listening: socket) -> None:
+        while True:
+            try:
+                accepted, address = listening.accept()
+            except ConnectionError:
+                # Its caller has reset it; others may wait behind it.
+                continue
+            except OSError:
+                return
+            accepted.setblocking(False)
+            self._http.handle_stream(IOStream(accepted), address)
+
 
 class _Listener(HTTPServer):
     idle_timeout_s: float = _IDLE_TIMEOUT_S
--- a/tests/daemon/front/test_connection.py
+++ b/tests/daemon/front/test_connection.py
@@ -1,6 +1,7 @@
 """Guards several requests under way on one connection of a caller."""
 
 import asyncio
+import socket
 
 from tests.daemon.front.harness import run
 from tornado.httputil import HTTPHeaders
@@ -156,3 +157,55 @@
         await server.close()
 
     run(scenario)
+
+
+def test_stop_serves_connections_that_wait_to_be_accepted() -> None:
+    """The kernel resets them with the port, with requests already sent."""
+
+    async def serve(caller: Caller) -> None:
+        await caller.reply.answer(200, 'OK', _headers(), _ANSWER_BODY)
+
+    async def scenario() -> None:
+        server = FrontServer(serve)
+        port = server.listen('127.0.0.1', 0)
+        # Without a step of the loop in between, nothing accepts these.
+        callers = [
+            socket.create_connection(('127.0.0.1', port)) for _ in range(20)
+        ]
+        for caller in callers:
+            caller.sendall(_REQUEST % 1)
+        server.stop_keep_alive()
+        server.stop_accepting()
+        while server.close_idle():
+            await asyncio.sleep(0.01)
+        for caller in callers:
+            caller.settimeout(0)
+            assert caller.recv(1024).endswith(_ANSWER_BODY)
+            caller.close()
+        await server.close()
+
+    run(scenario)
+
+
+def test_request_in_the_socket_buffer_keeps_its_connection() -> None:
+    """A stop under load finds sent requests that no task has read yet."""
+
+    async def serve(caller: Caller) -> None:
+        await caller.reply.answer(200, 'OK', _headers(), _ANSWER_BODY)
+
+    async def scenario() -> None:
+        server = FrontServer(serve)
+        port = server.listen('127.0.0.1', 0)
+        caller = socket.create_connection(('127.0.0.1', port))
+        await asyncio.sleep(0.05)
+        server.stop_keep_alive()
+        caller.sendall(_REQUEST % 1)
+        assert server.close_idle() == 1
+        while server.close_idle():
+            await asyncio.sleep(0.01)
+        caller.settimeout(0)
+        assert caller.recv(1024).endswith(_ANSWER_BODY)
+        caller.close()
+        await server.close()
+
+    run(scenario)
