Bind answers to requests by exactly one id; bound bytes without end

Cause: an answer without an id was taken for the own one, so a late second copy without an id reached the next caller of the connection. The body of an answer to another request was read without a bound, and so was a body that never ends.

Change: an answer must name exactly the request that was sent; none or several names end the exchange with an unknown outcome. 16 interim answers or answers to others and 1 MiB of their bodies are read at most. A body is passed on until 30 s after the deadline at most.

The product's own interface has no id in answers; a copy that arrives after the next request was sent can't be told there (docs/promises.md).

--- a/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
@@ -19,7 +19,7 @@
 from geraniumshelf_daemon.edge.order import Order
 from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.front.framing import BODY_METHODS
-from geraniumshelf_daemon.upstream.exchange import Exchange
+from geraniumshelf_daemon.upstream.exchange import Exchange, Owner
 from geraniumshelf_daemon.upstream.links import Passage
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 from geraniumshelf_daemon.upstream.progress import AttemptFailed, Progress
@@ -112,7 +112,7 @@
                 Ran.NOT_RUN,
             ) from error
         self._exchange = Exchange(
-            stream, caller.method, caller.target, self._is_stray
+            stream, caller.method, caller.target, self._find_owner
         )
 
     async def ask(
@@ -143,7 +143,7 @@
         except OSError as error:
             raise AttemptFailed(
                 ResultCode.BACKEND_BROKEN,
-                'the backend server broke off',
+                f'the backend server broke off: {error}',
                 Ran.UNKNOWN,
             ) from error
         if is_whole:
@@ -241,9 +241,14 @@
         if is_sent and self._exchange.is_request_sent:
             self._keeps_connection = await self._exchange.settle()
 
-    def _is_stray(self, headers: HTTPHeaders) -> bool:
-        found = self._tools.codec.read_answer(0, headers).request_id
-        return bool(found) and found != self._order.fields.request_id
+    def _find_owner(self, headers: HTTPHeaders) -> Owner:
+        # A second copy of an earlier answer may come on a connection that is
+        # in use again, so an answer without an id may belong to any request.
+        asked = self._order.fields.request_id
+        found = self._tools.codec.read_answer(0, headers).request_ids
+        if found == (asked,) or not (found or asked):
+            return Owner.OWN
+        return Owner.OTHER if len(found) == 1 else Owner.UNKNOWN
 
 
 def _check_answer(status: int, fields: AnswerFields) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
@@ -56,14 +56,14 @@
     """What an answer says of itself in its headers.
 
     Attributes:
-        request_id: Request that it answers, empty if it is not said.
+        request_ids: Requests that it names; a sound answer names one.
         is_signed: Whether the server signed it.
         is_not_run: Whether the server did not run the request.
         is_misdirected: Whether another server has the address now.
         load: Load of the server, ``None`` if it is not said.
     """
 
-    request_id: str
+    request_ids: tuple[str, ...]
     is_signed: bool
     is_not_run: bool
     is_misdirected: bool
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -20,6 +20,7 @@
 from geraniumshelf_core.site.model import Repeatability
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
+    SECOND_NS,
     Nanoseconds,
     ns_to_seconds,
 )
@@ -46,6 +47,10 @@
 # A request that a server did not run may come back after this time; a few
 # requests have ended by then.
 _LEAST_RETURN_S: Final = 0.2
+# A body may go on for this time after the deadline, as callers may read
+# slowly; a server that sends without end is cut off then.
+_DELIVERY_S: Final = 30
+_DELIVERY_NS: Final[Nanoseconds] = _DELIVERY_S * SECOND_NS
 
 
 class Relay:
@@ -119,8 +124,10 @@
                 'no answer before the deadline',
                 ran=progress.ran,
             ) from error
+        left = max(0, order.deadline - self._clock()) + _DELIVERY_NS
         try:
-            await deliver(caller, attempt, answer)
+            async with asyncio.timeout(ns_to_seconds(left)):
+                await deliver(caller, attempt, answer)
         finally:
             attempt.close()
         self._log_served(order, progress, answer)
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/exchange.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from enum import Enum, unique
 from sys import maxsize
 from typing import Final
 
@@ -24,10 +25,25 @@
 _LARGEST_HEADER: Final = 65536
 _FIRST_FINAL_CODE: Final = 200
 _BODILESS: Final = frozenset((204, 304))
+# Interim answers and answers to other requests that are read before the own
+# answer. A sound server sends a few at most; a faulty one sends them without
+# end.
+_MOST_SKIPPED: Final = 16
+# Bytes of the bodies of answers to other requests that are read at most.
+_LARGEST_SKIPPED: Final = 1048576
 
 Head = tuple[int, str, HTTPHeaders]
 
 
+@unique
+class Owner(Enum):
+    """Whose request an answer belongs to."""
+
+    OWN = 'own'
+    OTHER = 'other'
+    UNKNOWN = 'unknown'
+
+
 class Exchange:
     """Sends one request over a connection and reads the answer.
 
@@ -41,7 +57,7 @@
         stream: IOStream,
         method: str,
         target: str,
-        is_stray: Callable[[HTTPHeaders], bool] | None = None,
+        find_owner: Callable[[HTTPHeaders], Owner] | None = None,
     ) -> None:
         """Prepare an exchange.
 
@@ -49,8 +65,9 @@
             stream: An idle connection.
             method: HTTP method.
             target: Request target.
-            is_stray: Tells from its headers whether an answer belongs to
-                another request; it is skipped then.
+            find_owner: Tells from its headers whose request an answer
+                belongs to. The answer to another request is skipped; one of
+                an unknown owner ends the exchange.
         """
         self._stream = stream
         self._connection = HTTP1Connection(
@@ -63,7 +80,7 @@
             ),
         )
         self._start_line = RequestStartLine(method, target, 'HTTP/1.1')
-        self._delegate = _AnswerDelegate(stream, method, is_stray)
+        self._delegate = _AnswerDelegate(stream, method, find_owner)
         self._reader: asyncio.Future[bool] | None = None
         self._is_sent = False
 
@@ -153,12 +170,14 @@
         self,
         stream: IOStream,
         method: str,
-        is_stray: Callable[[HTTPHeaders], bool] | None,
+        find_owner: Callable[[HTTPHeaders], Owner] | None,
     ) -> None:
         self._stream = stream
         self._method = method
-        self._is_stray = is_stray
+        self._find_owner = find_owner
         self._skips = False
+        self._skipped = 0
+        self._skipped_bytes = 0
         self._ends_with_connection = False
         self.body = ByteChannel()
         self.keeps_alive = False
@@ -178,14 +197,30 @@
         headers: HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < _FIRST_FINAL_CODE or self.head.done():
+        if self.head.done():
             return
-        self._skips = self._is_stray is not None and self._is_stray(headers)
-        if not self._skips:
-            self._take_head(start_line, headers)
+        if start_line.code < _FIRST_FINAL_CODE:
+            self._count_skipped()
+            return
+        owner = Owner.OWN
+        if self._find_owner is not None:
+            owner = self._find_owner(headers)
+        self._skips = owner is not Owner.OWN
+        match owner:
+            case Owner.OWN:
+                self._take_head(start_line, headers)
+            case Owner.OTHER:
+                self._count_skipped()
+            case Owner.UNKNOWN:
+                self._give_up('the answer does not name its request')
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        return None if self._skips else self.body.put(chunk)
+        if not self._skips:
+            return self.body.put(chunk)
+        self._skipped_bytes += len(chunk)
+        if self._skipped_bytes > _LARGEST_SKIPPED:
+            self._give_up('the answer to another request is too long')
+        return None
 
     def finish(self) -> None:
         if self._skips:
@@ -197,10 +232,19 @@
             self.body.finish()
 
     def on_connection_close(self) -> None:
+        self._give_up('no complete answer')
+
+    def _count_skipped(self) -> None:
+        self._skipped += 1
+        if self._skipped > _MOST_SKIPPED:
+            self._give_up('too many interim answers or answers to others')
+
+    def _give_up(self, reason: str) -> None:
         self.keeps_alive = False
         self.body.fail()
         if not self.head.done():
-            self.head.set_exception(ConnectionError('no complete answer'))
+            self.head.set_exception(ConnectionError(reason))
+        self._stream.close()
 
     def _take_head(
         self, start_line: ResponseStartLine, headers: HTTPHeaders
@@ -210,7 +254,7 @@
         )
         # Without a length, an answer that was cut short looks complete; only
         # a caller that checks answers takes it.
-        if self._ends_with_connection and self._is_stray is None:
+        if self._ends_with_connection and self._find_owner is None:
             self.on_connection_close()
             return
         self.keeps_alive = (
