Check permissions again when they are used

Cause: server, token and key were checked when a request was placed. Until it is sent a connection opens, earlier requests of its connection are answered, or the daemon is suspended, and meanwhile the server may leave, its zone be evacuated, the key be withdrawn or the bucket fill again. A standby that became an entry again placed requests with the servers of its earlier duty until it had listed them, and a daemon served before it knew the evacuations.

Ruled out: loans, whole shares and waiting tokens are counted on the boot clock when they are used, so they end during a pause.

Change: right before the sending the daemon checks the server, the limit of a cold one and the age of the token. Route and key are looked up again if the configuration changed while the request waited. Servers are forgotten with a duty, and requests are refused until all three kinds are listed.

--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -101,6 +101,12 @@
         rebuild_usable(state)
 
 
+def forget_servers(state: PlacementState) -> None:
+    """Forget all servers."""
+    state.servers.clear()
+    rebuild_usable(state)
+
+
 def set_evacuated(
     state: PlacementState,
     zones: frozenset[str],
@@ -154,6 +160,11 @@
     """Count a request that is sent to a server."""
     state.is_started = True
     view.in_flight += 1
+    count_cold_send(view, now)
+
+
+def count_cold_send(view: ServerView, now: Nanoseconds) -> None:
+    """Count a request against the limit of a server if it is cold."""
     if is_cold(view, now):
         sends = view.cold_sends
         sends.append(now)
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -98,6 +98,14 @@
     return view.cold_until > now
 
 
+def may_still_get(state: PlacementState, view: ServerView) -> bool:
+    """Return whether a server that was chosen is still listed for work."""
+    server = view.server
+    if state.servers.get(server.name) is not view or server.is_draining:
+        return False
+    return server.zone not in state.evacuated
+
+
 def has_cold_room(
     state: PlacementState, view: ServerView, now: Nanoseconds
 ) -> bool:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -238,7 +238,7 @@
         self._pool.close()
 
     def _is_ready(self) -> bool:
-        return self._following.is_loaded and not self._stopping.is_set()
+        return self._state.is_loaded and not self._stopping.is_set()
 
     async def _tick(self) -> None:
         sizes = (0, 0)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/following.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/following.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Final
 
+from geraniumshelf_core.placement.commands import forget_servers
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.interface import SiteKind, SiteStore
 from geraniumshelf_daemon.edge.sinks import (
@@ -38,11 +39,6 @@
         self._servers = ServerSink(state)
         self._tasks: list[asyncio.Task[None]] = []
 
-    @property
-    def is_loaded(self) -> bool:
-        """Return whether requests can be served."""
-        return self._state.table is not None and self._servers.has_listed
-
     def start(self, contact: Nanoseconds) -> None:
         """Begin to follow the store.
 
@@ -66,9 +62,10 @@
             self._tasks.append(asyncio.create_task(guard_task(watcher.run)))
 
     async def stop(self) -> None:
-        """Follow the store no longer and forget the configuration.
+        """Follow the store no longer and forget what it held.
 
-        A request that still comes is refused, not served by what was true.
+        A request that still comes is refused, not served by what was true,
+        and servers that leave meanwhile are not used after the next start.
         """
         tasks = tuple(self._tasks)
         self._tasks.clear()
@@ -76,6 +73,9 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._state.table = None
+        self._state.has_servers = False
+        self._state.has_evacuations = False
+        forget_servers(self._state.placement)
 
     def forget_removed(self, now: Nanoseconds) -> None:
         """Forget the servers whose entries have not come back in time."""
--- a/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
@@ -6,14 +6,28 @@
 
 from geraniumshelf_core.admission.verdict import Admitted, Rejected, judge
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
-from geraniumshelf_core.placement.commands import suspect_server
-from geraniumshelf_core.placement.queries import choose_server, usual_work
+from geraniumshelf_core.placement.commands import (
+    count_cold_send,
+    suspect_server,
+)
+from geraniumshelf_core.placement.queries import (
+    choose_server,
+    has_cold_room,
+    is_cold,
+    may_still_get,
+    usual_work,
+)
 from geraniumshelf_core.placement.state import Choice, Wish
-from geraniumshelf_core.shares.quotas import describe_share, wait_for_admission
+from geraniumshelf_core.shares.quotas import (
+    describe_share,
+    take_token,
+    wait_for_admission,
+)
 from geraniumshelf_core.shares.retries import can_spend, spend
 from geraniumshelf_core.site.model import Repeatability
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
+    SECOND_NS,
     Nanoseconds,
     ns_to_seconds,
 )
@@ -28,6 +42,13 @@
 # An answer from another server takes up to this many times the expected time.
 _REPEAT_RATIO: Final = 1.5
 _LEAST_WAIT_S: Final = 0.05
+# A token that is used later than this was held by a pause of the daemon; its
+# bucket has filled again meanwhile.
+_TOKEN_LIFE_NS: Final[Nanoseconds] = SECOND_NS
+# A cold server counts a request in the second in which it arrives; a
+# connection opens in less time than this.
+_COLD_DELAY_MS: Final = 400
+_COLD_DELAY_NS: Final[Nanoseconds] = _COLD_DELAY_MS * MILLISECOND_NS
 
 
 class Placer:
@@ -99,6 +120,47 @@
                     retry_after_s=_rounded_s(retry_after),
                 )
 
+    def confirm(
+        self,
+        order: Order,
+        choice: Choice,
+        progress: RequestProgress,
+        chosen_at: Nanoseconds,
+    ) -> None:
+        """Check that a request may still be sent to the chosen server.
+
+        Opening a connection takes time, and the daemon may have been
+        suspended since it chose; no other task runs between this check and
+        the sending.
+
+        Args:
+            order: The request.
+            choice: The server.
+            progress: What is known of the request.
+            chosen_at: Time at which the server was chosen.
+
+        Raises:
+            AttemptFailed: ``NO_BACKEND_SERVER`` if the server may get no
+                request any more.
+            RequestRefused: ``RATE_EXCEEDED`` if the token is too old, and
+                there is no other.
+        """
+        now = self._clock()
+        placement = self._state.placement
+        if not may_still_get(placement, choice.view):
+            raise _withdrawn(choice, 'may get no more requests')
+        if now - chosen_at > _COLD_DELAY_NS:
+            if is_cold(choice.view, now) and not has_cold_room(
+                placement, choice.view, now
+            ):
+                raise _withdrawn(choice, 'is cold')
+            count_cold_send(choice.view, now)
+        if progress.attempts or now - progress.admitted_at <= _TOKEN_LIFE_NS:
+            return
+        progress.admitted_at = now
+        if not take_token(self._state.quotas, order.account_name, now):
+            raise self.refuse_over_quota(order, progress)
+
     def watch_silence(
         self,
         order: Order,
@@ -191,6 +253,15 @@
         )
 
 
+def _withdrawn(choice: Choice, reason: str) -> AttemptFailed:
+    return AttemptFailed(
+        ResultCode.NO_BACKEND_SERVER,
+        f'{choice.view.server.name} {reason}',
+        Ran.NOT_RUN,
+        is_failure=False,
+    )
+
+
 def _describe(
     choice: Choice | None, left: Nanoseconds, now: Nanoseconds
 ) -> str:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -31,6 +31,7 @@
 )
 from geraniumshelf_daemon.edge.budget import log_request
 from geraniumshelf_daemon.edge.delivery import deliver
+from geraniumshelf_daemon.edge.interface import CallerFields
 from geraniumshelf_daemon.edge.order import Order, check_request
 from geraniumshelf_daemon.edge.placing import Placer
 from geraniumshelf_daemon.edge.state import RelayState, RequestProgress
@@ -97,8 +98,9 @@
     async def _serve(self, caller: Caller, progress: RequestProgress) -> None:
         now = self._clock()
         fields = self._tools.codec.read_request(caller.headers)
-        order = check_request(self._state.table, caller, fields, now)
+        order = self._check(caller, fields, now)
         progress.order = order
+        table = self._state.table
         if order.route.repeatability is Repeatability.AT_MOST_ONCE:
             # A request behind an answer that closes the connection counts as
             # not read, so it must not have been sent on.
@@ -107,7 +109,12 @@
             order.account_name, order.route.target_latency
         ):
             raise self._placer.refuse_over_quota(order, progress)
+        if self._state.table is not table:
+            # The route or the key may have gone while the request waited.
+            order = self._check(caller, fields, now)
+            progress.order = order
         now = self._clock()
+        progress.admitted_at = now
         earn(self._state.retries, order.service, now)
         upload = Upload(caller.body, self._pacer, has_body=caller.has_body)
         left = max(0, order.deadline - now)
@@ -132,6 +139,12 @@
             attempt.close()
         self._log_served(order, progress, answer)
 
+    def _check(
+        self, caller: Caller, fields: CallerFields, now: Nanoseconds
+    ) -> Order:
+        table = self._state.table if self._state.is_loaded else None
+        return check_request(table, caller, fields, now)
+
     async def _find_answer(
         self,
         caller: Caller,
@@ -187,7 +200,9 @@
         attempt: ServerAttempt,
         progress: RequestProgress,
     ) -> tuple[Answer, Outcome]:
+        chosen = self._clock()
         await attempt.connect(caller)
+        self._placer.confirm(order, choice, progress, chosen)
         progress.attempts += 1
         progress.ran = Ran.UNKNOWN
         sent = self._clock()
@@ -279,6 +294,8 @@
             return Outcome(is_failure=True, is_unreachable=True)
         case ResultCode.BACKEND_REFUSED:
             return Outcome(is_shed=True)
+        case ResultCode.NO_BACKEND_SERVER:
+            return Outcome()
         case _:
             return Outcome(is_failure=True)
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
@@ -73,17 +73,11 @@
 
     def __init__(self, state: RelayState) -> None:
         self._state = state
-        self._has_listed = False
         self._removed: dict[str, Nanoseconds] = {}
         # Start of each server whose entry is gone; an entry that lapsed comes
         # back with the same one, and its server is not cold.
         self._former_starts: dict[str, int] = {}
 
-    @property
-    def has_listed(self) -> bool:
-        """Return whether the servers were listed once."""
-        return self._has_listed
-
     def replace(
         self, view: SiteView, now: Nanoseconds, *, after_outage: bool
     ) -> None:
@@ -92,7 +86,7 @@
         for name in missing:
             self._lose(name, now, after_outage=after_outage)
         self.change(view, now, after_outage=after_outage)
-        self._has_listed = True
+        self._state.has_servers = True
 
     def change(
         self, view: SiteView, now: Nanoseconds, *, after_outage: bool
@@ -117,7 +111,7 @@
     def _put(self, server: ListedServer, now: Nanoseconds) -> None:
         self._removed.pop(server.name, None)
         cold_time = 0
-        if self._has_listed and self._has_just_started(server):
+        if self._state.has_servers and self._has_just_started(server):
             cold_time = self._cold_time(server.service)
         put_server(self._placement, server, now, cold_time=cold_time)
         log_event(
@@ -178,6 +172,7 @@
         """Take over all evacuated zones."""
         zones = {name for name, found in view.records.items() if found}
         self._set(frozenset(zones), now)
+        self._state.has_evacuations = True
 
     def change(
         self, view: SiteView, now: Nanoseconds, *, after_outage: bool
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -24,6 +24,8 @@
         quotas: Shares of the rates of client accounts.
         retries: Shares of the retry budgets.
         table: Routes and keys, ``None`` before the first configuration.
+        has_servers: Whether the backend servers were listed.
+        has_evacuations: Whether the evacuated zones were listed.
         lines: Budget of log lines.
         running: Requests that run now.
         asked_at: Time of the last request of a caller.
@@ -35,12 +37,20 @@
     quotas: Quotas
     retries: RetryShares
     table: RoutingTable | None = None
+    has_servers: bool = False
+    has_evacuations: bool = False
     lines: LineBudget = field(factory=LineBudget)
     running: int = 0
     asked_at: Nanoseconds = 0
     asked: int = 0
     is_stopping: bool = False
 
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether all that decides about a request is known."""
+        is_listed = self.has_servers and self.has_evacuations
+        return is_listed and self.table is not None
+
 
 def build_state(settings: EdgeSettings, now: Nanoseconds) -> RelayState:
     """Return the state of a daemon that has just started."""
@@ -88,6 +98,7 @@
         may_have_run: Whether an attempt ended without saying that it did not
             run.
         attempts: Servers that it was sent to.
+        admitted_at: Time at which it got the token of its account.
         server: The last server that was chosen.
         inputs: What decided a rejection; for the log, not for the caller.
     """
@@ -96,5 +107,6 @@
     ran: Ran = Ran.NOT_RUN
     may_have_run: bool = False
     attempts: int = 0
+    admitted_at: Nanoseconds = 0
     server: str = ''
     inputs: str = ''
--- a/tests/daemon/edge/test_sinks.py
+++ b/tests/daemon/edge/test_sinks.py
@@ -1,14 +1,22 @@
 """Guards what a daemon takes over from the store."""
 
+from tests.platform.world import make_configuration
+
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.placement.state import PlacementState
 from geraniumshelf_core.shares.quotas import Quotas
 from geraniumshelf_core.shares.retries import RetryShares
 from geraniumshelf_core.site.model import ListedServer
 from geraniumshelf_core.units import SECOND_NS
-from geraniumshelf_daemon.edge.interface import SiteView
-from geraniumshelf_daemon.edge.sinks import RETURN_TIME_NS, ServerSink
+from geraniumshelf_daemon.edge.interface import SiteKind, SiteView
+from geraniumshelf_daemon.edge.sinks import (
+    RETURN_TIME_NS,
+    ConfigurationSink,
+    EvacuationSink,
+    ServerSink,
+)
 from geraniumshelf_daemon.edge.state import RelayState
+from geraniumshelf_platform.records import decode_record
 
 _NOW = 100 * SECOND_NS
 
@@ -59,3 +67,18 @@
     sink, placement = _sink(_server(7))
     sink.change(SiteView(2, {'s1': None}), _NOW, after_outage=False)
     assert not placement.servers
+
+
+def test_daemon_is_loaded_once_all_kinds_are_listed() -> None:
+    """Without the evacuations it would send work to a zone that empties."""
+    placement = PlacementState(Place('a1', 'a'), {'a1': 'a'})
+    state = RelayState(placement, Quotas(0, 0, 1), RetryShares(0, 0, 1))
+    record = decode_record(SiteKind.CONFIGURATION, 'main', make_configuration())
+    ConfigurationSink(state, lambda: None).replace(
+        SiteView(1, {'main': record}), _NOW, after_outage=False
+    )
+    empty = SiteView(1, {})
+    ServerSink(state).replace(empty, _NOW, after_outage=False)
+    assert not state.is_loaded
+    EvacuationSink(state).replace(empty, _NOW, after_outage=False)
+    assert state.is_loaded
--- a/tests/daemon/edge/test_standby.py
+++ b/tests/daemon/edge/test_standby.py
@@ -10,6 +10,7 @@
 from geraniumshelf_core.presence.duty import Duty
 from geraniumshelf_core.presence.state import Beat, PresenceState
 from geraniumshelf_core.shares.holding import WHOLE_TERM_NS, held_shares
+from geraniumshelf_core.site.model import ListedServer
 from geraniumshelf_core.units import SECOND_NS
 from geraniumshelf_daemon.edge.following import Following
 from geraniumshelf_daemon.edge.interface import (
@@ -24,6 +25,7 @@
 
 _BOUND_S = 5
 _OWN = Beat('me', 1, 1, 'a1', 'ip me', 'me:80', is_ready=False, cores=0.4)
+_SERVER = ListedServer('s1', 'desk', '10.0.0.1:1', 'a1', 2)
 _SETTINGS = EdgeSettings(
     'me', 'a1', {'a1': 'a'}, '', 0.4, '', '', '', 0, (), '', '', BOUNDS
 )
@@ -39,6 +41,8 @@
         self, kind: SiteKind, *, may_be_old: bool = False
     ) -> SiteView:
         self.calls.append(kind)
+        if kind is SiteKind.SERVERS:
+            return SiteView(1, {'s1': _SERVER})
         if kind is not SiteKind.CONFIGURATION:
             return SiteView(1, {})
         record = decode_record(kind, 'main', make_configuration())
@@ -88,13 +92,16 @@
         del presence.neighbours['l2']
         await standby.adjust(state, _SETTINGS, now)
         async with asyncio.timeout(_BOUND_S):
-            while not following.is_loaded:
+            while not state.is_loaded:
                 await asyncio.sleep(0.01)
         assert not standby.is_standby
+        assert state.placement.servers
         record_beat(presence, evolve(_entry('l2', 2)), now)
         await standby.adjust(state, _SETTINGS, 10 * now)
         assert standby.is_standby
         assert state.table is None
-        assert not following.is_loaded
+        assert not state.is_loaded
+        # A server that leaves meanwhile would be used after the next start.
+        assert not state.placement.servers
 
     asyncio.run(scenario())
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -264,3 +264,24 @@
             assert 0 < found['ttl_s'] <= 5
 
     run(scenario)
+
+
+def test_key_that_goes_while_a_request_waits_runs_nothing() -> None:
+    """A sale behind a slow answer would run with a key long withdrawn."""
+
+    async def scenario() -> None:
+        servers = {'i-1': ServerStandin('i-1', work_s=0.8)}
+        async with make_world(servers, make_configuration()) as world:
+            caller = await world.connect()
+            caller.send('/read/1')
+            caller.send('/sale/1', method='POST')
+            server = servers['i-1']
+            async with asyncio.timeout(5):
+                while not server.received:
+                    await asyncio.sleep(0.01)
+            world.store.put('config', 'main', make_configuration(2, tenants=[]))
+            assert (await caller.receive()).status == 200
+            assert (await caller.receive()).status == 401
+            assert len(server.received) == 1
+
+    run(scenario)
