Gather the shares of an account at one entry of a large fleet

Change: the entries of a large fleet lend their shares of an account to its owner by rendezvous hash and ask it for tokens. The owner also says when it has more, so that a request in vain is refused at once and its return fits. A borrowed whole share is lent on at most until its own term ends. Small fleets lend by need as before. The socket, the beats and the shares are modules of their own now.

--- a/packages/core/src/geraniumshelf_core/presence/queries.py
+++ b/packages/core/src/geraniumshelf_core/presence/queries.py
@@ -38,13 +38,18 @@
 _UNKNOWN_FLEET: Final = 100
 
 
+def is_large(state: PresenceState) -> bool:
+    """Return whether messages between all daemons would be too many."""
+    return len(state.targets) > _SMALL_FLEET
+
+
 def beat_interval(state: PresenceState, own: Beat, name: str) -> Nanoseconds:
     """Return the time between two beats to an instance.
 
     In a large fleet it grows with the zone, whose daemons replace each other;
     other zones only need to know the entries, and where the standbys are.
     """
-    if len(state.targets) <= _SMALL_FLEET:
+    if not is_large(state):
         return _SHORTEST_INTERVAL_NS
     member = state.registered.get(name)
     if member is None or member.zone != own.zone:
--- a/packages/core/src/geraniumshelf_core/shares/holding.py
+++ b/packages/core/src/geraniumshelf_core/shares/holding.py
@@ -16,6 +16,8 @@
 # Two rounds of heartbeats. After a loss of power the shares of standbys rest
 # for a term, and callers are refused meanwhile.
 WHOLE_TERM_NS: Final[Nanoseconds] = SECOND_NS
+# The own share has no term; this is longer than any loan of it.
+_UNBOUNDED_NS: Final[Nanoseconds] = 60 * SECOND_NS
 
 
 @define
@@ -39,6 +41,12 @@
     return own + sum(until > now for until in holding.borrowed.values())
 
 
+def held_until(holding: Holding, now: Nanoseconds) -> Nanoseconds:
+    """Return the end of the first of the terms that run now."""
+    running = (until for until in holding.borrowed.values() if until > now)
+    return min(running, default=now + _UNBOUNDED_NS)
+
+
 def withdraw_share(holding: Holding, now: Nanoseconds) -> None:
     """Keep the own share out of use until all earlier loans have ended.
 
--- a/packages/core/src/geraniumshelf_core/shares/loans.py
+++ b/packages/core/src/geraniumshelf_core/shares/loans.py
@@ -71,7 +71,12 @@
 
 
 def lend(
-    loans: Loans, borrower: str, wanted: float, spare: float, now: Nanoseconds
+    loans: Loans,
+    borrower: str,
+    wanted: float,
+    spare: float,
+    now: Nanoseconds,
+    term: Nanoseconds = TERM_NS,
 ) -> float:
     """Lend a part of the shares and return how much; 0 for none.
 
@@ -81,6 +86,7 @@
         wanted: What it asks for.
         spare: What this daemon holds and does not need, lent parts included.
         now: Current time.
+        term: Length of the loan.
     """
     terms = tuple(
         term for term in loans.lent.get(borrower, ()) if term.until > now
@@ -91,15 +97,19 @@
     share = min(wanted, left)
     if share < _LEAST_LOAN:
         return 0
-    loans.lent[borrower] = (*terms, Term(share, now + TERM_NS + DRIFT_NS))
+    loans.lent[borrower] = (*terms, Term(share, now + term + DRIFT_NS))
     return share
 
 
 def borrow(
-    loans: Loans, lender: str, share: float, asked_at: Nanoseconds
+    loans: Loans,
+    lender: str,
+    share: float,
+    asked_at: Nanoseconds,
+    term: Nanoseconds = TERM_NS,
 ) -> None:
     """Take over a loan that answers a question asked at a time."""
-    until = asked_at + TERM_NS
+    until = asked_at + min(term, TERM_NS)
     known = loans.borrowed.get(lender)
     if known is None or known.until < until:
         loans.borrowed[lender] = Term(share, until)
--- a/packages/core/src/geraniumshelf_core/shares/messages.py
+++ b/packages/core/src/geraniumshelf_core/shares/messages.py
@@ -27,11 +27,13 @@
     Attributes:
         name: Instance that lends.
         asked_at: Time of the question by the borrower's clock.
+        term: Length of the loan, nanoseconds from the question.
         lent: Lent part by account, in shares of one daemon.
     """
 
     name: str
     asked_at: Nanoseconds
+    term: Nanoseconds
     lent: dict[str, float]
 
 
@@ -86,8 +88,10 @@
         asked_at: Time of the question by the clock of the one that asked.
         account: Client account.
         granted: Tokens that left the bucket of the one that answers.
+        wait: Time until it has more, nanoseconds; 0 if that is not said.
     """
 
     asked_at: Nanoseconds
     account: str
     granted: int
+    wait: Nanoseconds
--- a/packages/core/src/geraniumshelf_core/shares/quotas.py
+++ b/packages/core/src/geraniumshelf_core/shares/quotas.py
@@ -18,6 +18,7 @@
 )
 from geraniumshelf_core.shares.holding import Holding, held_shares
 from geraniumshelf_core.shares.loans import (
+    TERM_NS,
     Loans,
     borrow,
     lend,
@@ -107,7 +108,7 @@
             quotas.shares[name] = share
         share.rate = rate
         share.capacity = capacity
-        _apply_loans(quotas, share, now)
+        apply_loans(quotas, share, now)
 
 
 def admit(quotas: Quotas, account: str, now: Nanoseconds) -> bool:
@@ -124,7 +125,7 @@
     share = quotas.shares.get(account)
     if share is None:
         return True
-    _apply_loans(quotas, share, now)
+    apply_loans(quotas, share, now)
     return take(share.bucket, now)
 
 
@@ -153,7 +154,7 @@
     """Measure the demand; return the need of each account, in shares."""
     for share in quotas.shares.values():
         # Tokens of a rate and capacity that are applied late are lost.
-        _apply_loans(quotas, share, now)
+        apply_loans(quotas, share, now)
         age = now - share.measured_at
         if age <= 0:
             continue
@@ -183,7 +184,7 @@
     needed = _HEADROOM * share.demand / share.rate
     spare = spare_shares(held_shares(quotas.holding, now), needed)
     given = lend(share.loans, borrower, wanted, spare, now)
-    _apply_loans(quotas, share, now)
+    apply_loans(quotas, share, now)
     return given
 
 
@@ -193,11 +194,22 @@
     lender: str,
     part: float,
     asked_at: Nanoseconds,
+    term: Nanoseconds = TERM_NS,
 ) -> None:
     """Take over a loan that answers a question asked at a time."""
     share = quotas.shares.get(account)
     if share is not None:
-        borrow(share.loans, lender, part, asked_at)
+        borrow(share.loans, lender, part, asked_at, term)
+
+
+def apply_loans(quotas: Quotas, share: AccountShare, now: Nanoseconds) -> None:
+    """Bring the bucket of an account to what may be used of it now."""
+    held = held_shares(quotas.holding, now)
+    rate, capacity = _whole_tokens(
+        share.rate * held, share.capacity * held, quotas.window_s
+    )
+    part = own_share(share.loans, held, now) / max(1, held)
+    resize(share.bucket, rate * part, capacity * part, now)
 
 
 def _whole_tokens(
@@ -213,12 +225,3 @@
     total = capacity + rate * window_s
     whole = min(1, total)
     return (total - whole) / window_s, whole
-
-
-def _apply_loans(quotas: Quotas, share: AccountShare, now: Nanoseconds) -> None:
-    held = held_shares(quotas.holding, now)
-    rate, capacity = _whole_tokens(
-        share.rate * held, share.capacity * held, quotas.window_s
-    )
-    part = own_share(share.loans, held, now) / max(1, held)
-    resize(share.bucket, rate * part, capacity * part, now)
--- a/packages/core/src/geraniumshelf_core/shares/transfers.py
+++ b/packages/core/src/geraniumshelf_core/shares/transfers.py
@@ -3,7 +3,8 @@
 Answers small accounts whose callers send a few requests at once to one daemon:
 its part of the burst is a token or two, while the other daemons hold the rest.
 A token leaves its bucket before it is spent elsewhere, and one that comes late
-is dropped, so the sum of all daemons stays within the limit.
+is dropped, so the sum of all daemons stays within the limit. In a large fleet
+the owner of the account is asked first, which holds nearly all of them.
 """
 
 from enum import Enum, unique
@@ -40,6 +41,7 @@
     """Whom to ask for tokens."""
 
     NOBODY = 'nobody'
+    OWNER = 'owner'
     REGION = 'region'
     OTHER_REGIONS = 'other regions'
 
@@ -54,6 +56,7 @@
         asked: Who was asked last and has not answered.
         asked_at: Time of that question.
         dry_until: Time until which waiting is taken to be in vain.
+        ask_after: Time before which the owner has no more tokens.
     """
 
     count: int = 0
@@ -61,6 +64,7 @@
     asked: Reach = Reach.NOBODY
     asked_at: Nanoseconds = 0
     dry_until: Nanoseconds = 0
+    ask_after: Nanoseconds = 0
 
 
 def longest_wait(target: Nanoseconds) -> Nanoseconds:
@@ -81,19 +85,30 @@
     return now < waiting.dry_until
 
 
-def begin_question(waiting: Waiting, now: Nanoseconds) -> Reach:
+def begin_question(
+    waiting: Waiting, now: Nanoseconds, *, has_owner: bool = False
+) -> Reach:
     """Return whom to ask now, and take note of it.
 
     The own region is asked first; tokens that come for nobody are lost.
+
+    Args:
+        waiting: The requests that wait.
+        now: Current time.
+        has_owner: Whether another daemon gathers the account. Others are
+            asked only if it does not answer.
     """
     age = now - waiting.asked_at
+    first = Reach.OWNER if has_owner else Reach.REGION
     match waiting.asked:
+        case Reach.NOBODY if now >= waiting.ask_after:
+            reach = first
+        case Reach.OWNER if age >= _FAR_ANSWER_NS:
+            reach = Reach.REGION
         case Reach.REGION if age >= ASK_INTERVAL_NS:
             reach = Reach.OTHER_REGIONS
-        case Reach.NOBODY:
-            reach = Reach.REGION
         case Reach.OTHER_REGIONS if age >= _FAR_ANSWER_NS:
-            reach = Reach.REGION
+            reach = first
         case _:
             return Reach.NOBODY
     waiting.asked = reach
@@ -102,18 +117,33 @@
 
 
 def hand_out(
-    quotas: Quotas, account: str, wanted: int, now: Nanoseconds
+    quotas: Quotas,
+    account: str,
+    wanted: int,
+    now: Nanoseconds,
+    *,
+    is_owner: bool = False,
 ) -> int:
     """Take tokens out of the own bucket for another daemon.
 
+    Args:
+        quotas: Shares of this daemon.
+        account: Client account.
+        wanted: Tokens that the other daemon asks for.
+        now: Current time.
+        is_owner: Whether this daemon gathers the account; its own callers
+            come before no others then.
+
     Returns:
-        How many; this daemon keeps what its own callers need soon.
+        How many; a daemon that isn't the owner keeps what its own callers
+        need soon.
     """
     share = quotas.shares.get(account)
     if share is None:
         return 0
     refill(share.bucket, now)
-    spare = floor(share.bucket.tokens - share.demand * _KEPT_S)
+    kept = 0 if is_owner else share.demand * _KEPT_S
+    spare = floor(share.bucket.tokens - kept)
     given = max(0, min(wanted, spare))
     share.bucket.tokens -= given
     return given
@@ -128,6 +158,22 @@
         waiting.asked = Reach.NOBODY
 
 
+def defer(
+    waiting: Waiting, wait: Nanoseconds, longest: Nanoseconds, now: Nanoseconds
+) -> None:
+    """Take note of what the owner says of the next tokens.
+
+    Args:
+        waiting: The requests that wait.
+        wait: Time until the owner has another token.
+        longest: Time that a request may still wait.
+        now: Current time.
+    """
+    waiting.ask_after = now + wait
+    if wait > longest:
+        waiting.dry_until = now + min(wait, _DRY_NS)
+
+
 def end_in_vain(waiting: Waiting, now: Nanoseconds) -> None:
     """Take note of a request that got no token in time."""
     waiting.dry_until = now + _DRY_NS
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -20,6 +20,7 @@
     PresenceState,
     RequestRate,
 )
+from geraniumshelf_core.shares.messages import TokenGrant
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
     Nanoseconds,
@@ -27,6 +28,7 @@
 )
 from geraniumshelf_daemon.edge.attempt import AttemptTools
 from geraniumshelf_daemon.edge.clock import boot_time
+from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.directory import (
     Directory,
     MetricsPage,
@@ -34,6 +36,7 @@
 )
 from geraniumshelf_daemon.edge.following import Following, guard_task
 from geraniumshelf_daemon.edge.interface import HeaderCodec, SiteStore
+from geraniumshelf_daemon.edge.lending import ShareExchange
 from geraniumshelf_daemon.edge.limits import divide_limits, fleet_sizes
 from geraniumshelf_daemon.edge.peers import Heartbeats
 from geraniumshelf_daemon.edge.registry import Registry
@@ -88,19 +91,30 @@
         bounds = settings.bounds
         self._state = build_state(settings, clock())
         self._presence = PresenceState(settings.ip)
+        self._port = DatagramPort(settings.peer_port)
         self._heartbeats = Heartbeats(
             self._presence,
             _first_beat(settings),
-            settings.peer_port,
+            self._port,
             clock,
             self._random,
+        )
+        self._shares = ShareExchange(
+            self._presence,
             self._state.quotas,
+            self._port,
+            lambda: self._heartbeats.own,
+            clock,
+            self._random,
             settings.regions,
         )
         tokens = AccountTokens(
-            self._state.quotas, clock, self._heartbeats.ask_tokens
+            self._state.quotas,
+            clock,
+            self._shares.ask_tokens,
+            self._shares.has_owner,
         )
-        self._heartbeats.take_grant = tokens.take_grant
+        self._port.register(TokenGrant, tokens.take_grant)
         self._duty = Duty(clock())
         self._rate = RequestRate(measured_at=clock())
         self._following = Following(
@@ -159,7 +173,7 @@
             if address:
                 host, _, port = address.rpartition(':')
                 server.listen(host, int(port))
-        await self._heartbeats.listen(settings.ip)
+        await self._port.listen(settings.ip)
         register_instance(
             self._presence,
             settings.name,
@@ -170,6 +184,7 @@
             add_target(self._presence, seed)
         for step in (
             self._heartbeats.run,
+            self._shares.run,
             Registry(
                 self._store,
                 self._presence,
@@ -234,7 +249,7 @@
         ):
             await server.close()
         install_metrics(None)
-        self._heartbeats.close()
+        self._port.close()
         self._pool.close()
 
     def _is_ready(self) -> bool:
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/datagrams.py
@@ -0,0 +1,77 @@
+"""The socket for messages between daemons, over UDP and in CBOR."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from geraniumshelf_daemon.edge.messages import (
+    Message,
+    decode_message,
+    encode_message,
+)
+from geraniumshelf_daemon.observability.events import Event, log_event
+
+T = TypeVar('T')
+
+
+class DatagramPort:
+    """Sends messages to daemons and hands over theirs.
+
+    Args:
+        port: Port of all daemons.
+    """
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._handlers: dict[type, Callable[[Any], None]] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def register(self, kind: type[T], handle: Callable[[T], None]) -> None:
+        """Hand all messages of a kind to a function."""
+        self._handlers[kind] = handle
+
+    async def listen(self, ip: str) -> None:
+        """Open the socket.
+
+        Raises:
+            OSError: If the address is in use.
+        """
+        loop = asyncio.get_running_loop()
+        opened = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self._take), local_addr=(ip, self._port)
+        )
+        self._transport = opened[0]
+
+    def send(self, ip: str, message: Message) -> None:
+        """Send a message to a daemon; nobody knows if it arrives."""
+        self.send_encoded(ip, encode_message(message))
+
+    def send_encoded(self, ip: str, datagram: bytes) -> None:
+        """Send a message that is encoded already."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(datagram, (ip, self._port))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _take(self, datagram: bytes) -> None:
+        message = decode_message(datagram)
+        if message is None:
+            log_event(Event.PEER_FRAME_REFUSED, f'{len(datagram)} bytes')
+            return
+        handle = self._handlers.get(type(message))
+        if handle is not None:
+            handle(message)
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    def __init__(self, take: Callable[[bytes], None]) -> None:
+        self._take = take
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        self._take(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Do nothing: the silence of an instance that is gone is noticed."""
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -15,7 +15,7 @@
     WholeShareRequest,
 )
 
-_FORMAT: Final = 3
+_FORMAT: Final = 4
 Message = (
     Beat
     | ShareRequest
@@ -52,11 +52,11 @@
         list,
     ),
     ShareRequest: (str, int, dict),
-    ShareLoan: (str, int, dict),
+    ShareLoan: (str, int, int, dict),
     WholeShareRequest: (str, int),
     WholeShareLoan: (str, int),
     TokenRequest: (str, int, str, int),
-    TokenGrant: (int, str, int),
+    TokenGrant: (int, str, int, int),
 }
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
@@ -65,11 +65,16 @@
         self._random = random
 
     def refuse_over_quota(
-        self, order: Order, progress: RequestProgress
+        self, order: Order, progress: RequestProgress, wait: Nanoseconds
     ) -> RequestRefused:
-        """Return the refusal of a request whose account has no token."""
+        """Return the refusal of a request whose account has no token.
+
+        Args:
+            order: The request.
+            progress: What is known of the request; takes the inputs.
+            wait: Time until the account has a token again.
+        """
         quotas = self._state.quotas
-        wait = wait_for_admission(quotas, order.account_name)
         progress.inputs = describe_share(
             quotas, order.account_name, self._clock()
         )
@@ -159,7 +164,8 @@
             return
         progress.admitted_at = now
         if not take_token(self._state.quotas, order.account_name, now):
-            raise self.refuse_over_quota(order, progress)
+            wait = wait_for_admission(self._state.quotas, order.account_name)
+            raise self.refuse_over_quota(order, progress, wait)
 
     def watch_silence(
         self,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -108,7 +108,8 @@
         if not await self._tokens.obtain(
             order.account_name, order.route.target_latency
         ):
-            raise self._placer.refuse_over_quota(order, progress)
+            wait = self._tokens.time_to_token(order.account_name)
+            raise self._placer.refuse_over_quota(order, progress, wait)
         if self._state.table is not table:
             # The route or the key may have gone while the request waited.
             order = self._check(caller, fields, now)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/tokens.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/tokens.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from geraniumshelf_core.shares.messages import TokenGrant
 from geraniumshelf_core.shares.quotas import (
     Quotas,
     admit,
@@ -15,10 +16,12 @@
 )
 from geraniumshelf_core.shares.transfers import (
     ASK_INTERVAL_NS,
+    MOST_WAIT_NS,
     Reach,
     Waiting,
     accept,
     begin_question,
+    defer,
     end_in_vain,
     is_hopeless,
     longest_wait,
@@ -61,6 +64,10 @@
     granted: asyncio.Event = field(factory=asyncio.Event)
 
 
+def _has_no_owner(_account: str) -> bool:
+    return False
+
+
 class AccountTokens:
     """Gives out the tokens of accounts to requests.
 
@@ -68,6 +75,7 @@
         quotas: Shares of this daemon.
         clock: Returns the current time, nanoseconds.
         ask: Asks other daemons for tokens of an account.
+        has_owner: Tells whether another daemon gathers an account.
     """
 
     def __init__(
@@ -75,7 +83,9 @@
         quotas: Quotas,
         clock: Callable[[], Nanoseconds],
         ask: Callable[[TokenQuestion, Nanoseconds], None],
+        has_owner: Callable[[str], bool] = _has_no_owner,
     ) -> None:
+        self._has_owner = has_owner
         self._quotas = quotas
         self._clock = clock
         self._ask = ask
@@ -102,14 +112,23 @@
         finally:
             waiting.count -= 1
 
-    def take_grant(
-        self, account: str, tokens: int, asked_at: Nanoseconds
-    ) -> None:
+    def take_grant(self, grant: TokenGrant) -> None:
         """Take over tokens that another daemon handed out."""
+        queue = self._queues.get(grant.account)
+        if queue is None:
+            return
+        now = self._clock()
+        accept(queue.waiting, grant.granted, grant.asked_at, now)
+        if grant.wait:
+            defer(queue.waiting, grant.wait, MOST_WAIT_NS, now)
+        queue.granted.set()
+
+    def time_to_token(self, account: str) -> Nanoseconds:
+        """Return the time after which an account that was refused has one."""
         queue = self._queues.get(account)
-        if queue is not None:
-            accept(queue.waiting, tokens, asked_at, self._clock())
-            queue.granted.set()
+        if queue is None or not self._has_owner(account):
+            return wait_for_admission(self._quotas, account)
+        return max(0, queue.waiting.ask_after - self._clock())
 
     async def _wait(
         self, account: str, queue: _Queue, until: Nanoseconds
@@ -122,10 +141,14 @@
                 return True
             if take_token(self._quotas, account, now):
                 return True
+            if is_hopeless(waiting, now):
+                return False
             if now >= until:
                 end_in_vain(waiting, now)
                 return False
-            reach = begin_question(waiting, now)
+            reach = begin_question(
+                waiting, now, has_owner=self._has_owner(account)
+            )
             if reach is not Reach.NOBODY:
                 self._ask(TokenQuestion(account, waiting.count, reach), now)
             next_token = wait_for_admission(self._quotas, account)
--- /dev/null
+++ b/tests/core/shares/test_gathering.py
@@ -0,0 +1,214 @@
+"""Guards the limit of an account whose shares one daemon gathers."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from geraniumshelf_core.shares.gathering import (
+    AccountOwners,
+    find_owner,
+    lend_all,
+    loan_term,
+    owned_accounts,
+    set_entries,
+)
+from geraniumshelf_core.shares.holding import (
+    WHOLE_TERM_NS,
+    Holding,
+    borrow_whole,
+    held_shares,
+    lend_whole,
+)
+from geraniumshelf_core.shares.loans import DRIFT_NS, TERM_NS
+from geraniumshelf_core.shares.quotas import (
+    Quotas,
+    admit,
+    borrow_share,
+    divide_quotas,
+    measure_needs,
+)
+from geraniumshelf_core.shares.transfers import (
+    MOST_WAIT_NS,
+    Reach,
+    Waiting,
+    accept,
+    begin_question,
+    defer,
+    hand_out,
+    is_hopeless,
+)
+from geraniumshelf_core.site.model import SiteAccount
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS
+
+_WINDOW_S = 5
+_STEP_NS = 50 * MILLISECOND_NS
+_ROUND = 8
+_ENTRIES = 27
+_DAEMONS = 195
+_ACCOUNT = SiteAccount('shop', ('k',), 5, 10)
+_LIMIT = (5 * _WINDOW_S + 10) * 1.1 + 20
+
+
+def _quotas(daemons: int, now: int = 0) -> Quotas:
+    quotas = Quotas(0.1, 20, _WINDOW_S)
+    divide_quotas(quotas, [_ACCOUNT], daemons, now)
+    return quotas
+
+
+def _gather(
+    fleet: list[Quotas], owner: int, lost: frozenset[int], now: int
+) -> None:
+    for lender, quotas in enumerate(fleet):
+        if lender == owner:
+            continue
+        term = loan_term(quotas.holding, now)
+        lent = lend_all(quotas, 'shop', str(owner), term, now)
+        # The answer may be lost after the lender gave its share away.
+        if lent and lender not in lost:
+            borrow_share(fleet[owner], 'shop', str(lender), lent, now, term)
+
+
+def _most_in_window(times: list[int]) -> int:
+    width = _WINDOW_S * SECOND_NS
+    return max(
+        (sum(start <= at <= start + width for at in times) for start in times),
+        default=0,
+    )
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    load=st.lists(
+        st.tuples(
+            st.integers(0, 3),
+            st.integers(0, 3),
+            st.frozensets(st.integers(0, 3)),
+            st.integers(0, 30),
+            st.booleans(),
+        ),
+        min_size=60,
+        max_size=160,
+    )
+)
+def test_gathered_shares_do_not_add_to_the_limit(
+    load: list[tuple[int, int, frozenset[int], int, bool]],
+) -> None:
+    """Two owners, lost loans, pauses or restarts must not add tokens."""
+    now = 0
+    fleet = [_quotas(4) for _ in range(4)]
+    admitted: list[int] = []
+    for daemon, owner, lost, pause, restarts in load:
+        now += _STEP_NS * (1 + (pause if pause > 25 else 0))
+        if restarts and not pause:
+            # A restart takes longer than the terms that are open.
+            now += 2 * TERM_NS
+            fleet[daemon] = _quotas(4, now)
+        _gather(fleet, owner, lost, now)
+        admitted.extend(
+            now for _ in range(15) if admit(fleet[daemon], 'shop', now)
+        )
+        if daemon != owner and pause % 2:
+            waiting = Waiting(count=9)
+            granted = hand_out(fleet[owner], 'shop', 9, now, is_owner=True)
+            accept(waiting, granted, now, now)
+            admitted.extend([now] * waiting.granted)
+    assert _most_in_window(admitted) <= _LIMIT
+
+
+def test_borrowed_share_is_not_lent_on_beyond_its_own_term() -> None:
+    """Its lender would use it while the owner of the account still does."""
+    standby, entry = Holding(), _quotas(_DAEMONS)
+    asked_at = SECOND_NS
+    assert lend_whole(standby, 'entry', asked_at)
+    borrow_whole(entry.holding, 'standby', asked_at)
+    now = asked_at + WHOLE_TERM_NS // 2
+    term = loan_term(entry.holding, now)
+    assert now + term <= asked_at + WHOLE_TERM_NS
+    assert held_shares(standby, now + term) == 0
+    lend_all(entry, 'shop', 'owner', term, now)
+    assert held_shares(standby, asked_at + WHOLE_TERM_NS + DRIFT_NS) == 1
+
+
+def _serve(*, is_gathered: bool) -> float:
+    """Return the served share of an account that stays below its rate.
+
+    Callers send bursts of a few requests to any of the entries.
+    """
+    random = Random(1)
+    fleet = [_quotas(_DAEMONS) for _ in range(_ENTRIES)]
+    standbys = _DAEMONS // _ENTRIES
+    served, asked = 0, 0
+    for step in range(1, 40 * SECOND_NS // _STEP_NS):
+        now = step * _STEP_NS
+        if step % _ROUND == 0:
+            for quotas in fleet:
+                for number in range(standbys):
+                    borrow_whole(quotas.holding, str(number), now)
+                measure_needs(quotas, now)
+            if is_gathered:
+                _gather(fleet, 0, frozenset(), now)
+        if now < 10 * SECOND_NS or random.random() > 0.07:
+            continue
+        entry = random.randrange(_ENTRIES)
+        for _ in range(3):
+            asked += 1
+            is_served = admit(fleet[entry], 'shop', now)
+            if not is_served and is_gathered:
+                is_served = (
+                    hand_out(fleet[0], 'shop', 1, now, is_owner=True) == 1
+                )
+            served += is_served
+    return served / asked
+
+
+def test_small_account_within_its_rate_is_served_by_a_large_fleet() -> None:
+    """A thirtieth of a small rate at each entry refuses most bursts."""
+    assert _serve(is_gathered=False) < 0.9
+    assert _serve(is_gathered=True) >= 0.99
+
+
+def test_owners_agree_and_are_spread() -> None:
+    """One owner of all accounts would answer for the whole fleet."""
+    names = [f'entry-{number}' for number in range(_ENTRIES)]
+    first, second = AccountOwners(), AccountOwners()
+    set_entries(first, names)
+    set_entries(second, reversed(names))
+    accounts = [f'account-{number}' for number in range(140)]
+    owners = [find_owner(first, account) for account in accounts]
+    assert owners == [find_owner(second, account) for account in accounts]
+    assert len(set(owners)) > _ENTRIES // 2
+    quotas = _quotas(_DAEMONS)
+    (owner,) = {find_owner(first, 'shop')}
+    assert owned_accounts(first, quotas, str(owner)) == ('shop',)
+    set_entries(first, ())
+    assert find_owner(first, 'shop') is None
+
+
+def test_owner_is_asked_first_and_others_if_it_is_silent() -> None:
+    """Two random entries hold nothing once the owner has gathered all."""
+    waiting = Waiting(count=1)
+    step = 100 * MILLISECOND_NS
+    asked = [
+        begin_question(waiting, number * step, has_owner=True)
+        for number in range(4)
+    ]
+    assert asked == [
+        Reach.OWNER,
+        Reach.REGION,
+        Reach.OTHER_REGIONS,
+        Reach.OWNER,
+    ]
+
+
+def test_word_of_the_owner_ends_a_wait_in_vain() -> None:
+    """A request that can't get a token in time is refused at once."""
+    waiting = Waiting(count=1)
+    defer(waiting, MOST_WAIT_NS // 2, MOST_WAIT_NS, 0)
+    assert not is_hopeless(waiting, 1)
+    early = begin_question(waiting, MOST_WAIT_NS // 4, has_owner=True)
+    assert early is Reach.NOBODY
+    later = begin_question(waiting, MOST_WAIT_NS // 2, has_owner=True)
+    assert later is Reach.OWNER
+    defer(waiting, 2 * MOST_WAIT_NS, MOST_WAIT_NS, 0)
+    assert is_hopeless(waiting, 1)
--- a/tests/daemon/edge/test_messages.py
+++ b/tests/daemon/edge/test_messages.py
@@ -29,11 +29,11 @@
         _FIRST_BEAT,
         Beat('n1', 7, 1, 'a1', 'i', 'f', True, False, 0.43, 12.5, 5, ('i2',)),
         ShareRequest('n1', 5, {'shop': 0.5}),
-        ShareLoan('n1', 5, {'shop': 0.25}),
+        ShareLoan('n1', 5, 7, {'shop': 0.25}),
         WholeShareRequest('n1', 5),
         WholeShareLoan('n1', 5),
         TokenRequest('n1', 5, 'shop', 3),
-        TokenGrant(5, 'shop', 2),
+        TokenGrant(5, 'shop', 2, 9),
     ],
 )
 def test_message_comes_back(message: Message) -> None:
--- a/tests/daemon/edge/test_tokens.py
+++ b/tests/daemon/edge/test_tokens.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from geraniumshelf_core.shares.messages import TokenGrant
 from geraniumshelf_core.shares.quotas import Quotas, divide_quotas
 from geraniumshelf_core.shares.transfers import MOST_WAIT_NS, Reach
 from geraniumshelf_core.site.model import SiteAccount
@@ -39,7 +40,7 @@
 
     def answer(question: TokenQuestion, now: int) -> None:
         asked.append(question)
-        tokens.take_grant(question.account, question.wanted, now)
+        tokens.take_grant(TokenGrant(now, question.account, question.wanted, 0))
 
     tokens = AccountTokens(_quotas(0.1), boot_time, answer)
     granted, _ = asyncio.run(_obtain(tokens))
@@ -69,6 +70,6 @@
     tokens = AccountTokens(
         _quotas(0.1), boot_time, lambda _question, _now: None
     )
-    tokens.take_grant('shop', 1, boot_time())
+    tokens.take_grant(TokenGrant(boot_time(), 'shop', 1, 0))
     granted, _ = asyncio.run(_obtain(tokens))
     assert not granted
