Send beats between zones only from entries

Beats of all standbys to all zones, 16 addresses in each, and the list of the registry every 10 s by all instances make most of it.

Change: standbys speak within their zone only. Entries tell the entries of other zones that they live, and the first entry of a zone passes their beats on to its standbys, so that every directory still knows them. A beat tells how many daemons its zone has, which keeps the division of limits right. A standby reads the registry every 60 s.

--- a/packages/core/src/geraniumshelf_core/presence/commands.py
+++ b/packages/core/src/geraniumshelf_core/presence/commands.py
@@ -32,6 +32,8 @@
     state.neighbours[beat.name] = Neighbour(beat, now, busy_since)
     state.targets[beat.ip] = beat.name
     state.registered[beat.name] = beat.member
+    known_size = state.zone_sizes.get(beat.zone, 0)
+    state.zone_sizes[beat.zone] = max(known_size, beat.zone_size)
     for ip in beat.known:
         add_target(state, ip)
     return known is None
--- a/packages/core/src/geraniumshelf_core/presence/queries.py
+++ b/packages/core/src/geraniumshelf_core/presence/queries.py
@@ -27,11 +27,16 @@
     _SHORTEST_INTERVAL_MS * MILLISECOND_NS
 )
 _LONGEST_INTERVAL_NS: Final[Nanoseconds] = 2 * SECOND_NS
+# Beats between entries of different zones. Three of them and a half second stay
+# below the time after which a dead entry must no longer be named, 6 s.
+_FAR_INTERVAL_MS: Final = 1500
+FAR_INTERVAL_NS: Final[Nanoseconds] = _FAR_INTERVAL_MS * MILLISECOND_NS
 # Up to this many daemons send a beat to each other in the shortest interval.
 _SMALL_FLEET: Final = 16
-# Beats of a standby to other zones, where it matters only if all entries of
-# its zone are lost.
-_FAR_STANDBY_NS: Final[Nanoseconds] = 8 * SECOND_NS
+# Beats of an entry to all daemons of a zone of which it hears no entry.
+_SEARCH_INTERVAL_NS: Final[Nanoseconds] = 8 * SECOND_NS
+# Daemons of a zone that are taken for entries until one is heard.
+_LIKELY_ENTRIES: Final = 3
 _LOST_INTERVALS: Final = 3
 # Limits are divided by this number while the registry is unknown, so that a
 # daemon that starts during an outage of the store takes too little.
@@ -43,20 +48,62 @@
     return len(state.targets) > _SMALL_FLEET
 
 
-def beat_interval(state: PresenceState, own: Beat, name: str) -> Nanoseconds:
-    """Return the time between two beats to an instance.
+def beat_interval(
+    state: PresenceState, own: Beat, name: str
+) -> Nanoseconds | None:
+    """Return the time between two beats to an instance, ``None`` for none.
 
-    In a large fleet it grows with the zone, whose daemons replace each other;
-    other zones only need to know the entries, and where the standbys are.
+    In a large fleet it grows with the zone, whose daemons replace each other.
+    Between zones only entries tell each other that they live: links between
+    zones are dear, and beats of all daemons would grow with the square of the
+    fleet. Standbys hear of the entries of other zones from one of their own.
     """
     if not is_large(state):
         return _SHORTEST_INTERVAL_NS
     member = state.registered.get(name)
-    if member is None or member.zone != own.zone:
-        return _FAR_STANDBY_NS if own.is_standby else _LONGEST_INTERVAL_NS
-    near = sum(one.zone == own.zone for one in state.registered.values())
-    wanted = _SHORTEST_INTERVAL_NS * near // _SMALL_FLEET
-    return min(max(wanted, _SHORTEST_INTERVAL_NS), _LONGEST_INTERVAL_NS)
+    if member is not None and member.zone == own.zone:
+        near = zone_size(state, own.zone)
+        wanted = _SHORTEST_INTERVAL_NS * near // _SMALL_FLEET
+        return min(max(wanted, _SHORTEST_INTERVAL_NS), _LONGEST_INTERVAL_NS)
+    if own.is_standby:
+        return None
+    neighbour = state.neighbours.get(name)
+    if neighbour is not None:
+        return None if neighbour.beat.is_standby else FAR_INTERVAL_NS
+    if member is None or _is_likely_entry(state, name, member):
+        return FAR_INTERVAL_NS
+    is_heard = not own.is_ready or any(
+        not beat.is_standby for beat in zone_beats(state, member.zone)
+    )
+    return None if is_heard else _SEARCH_INTERVAL_NS
+
+
+def is_relay(state: PresenceState, own: Beat) -> bool:
+    """Return whether this daemon tells its zone of the entries of others.
+
+    The first of the entries does; two for a moment are harmless.
+    """
+    if own.is_standby or not own.is_ready:
+        return False
+    return not any(
+        beat.is_ready and beat.name < own.name
+        for beat in zone_beats(state, own.zone)
+    )
+
+
+def zone_size(state: PresenceState, zone: str) -> int:
+    """Return how many daemons of a zone may be alive."""
+    counted = sum(one.zone == zone for one in state.registered.values())
+    return max(counted, state.zone_sizes.get(zone, 0))
+
+
+def _is_likely_entry(state: PresenceState, name: str, member: Member) -> bool:
+    own_rank = rank(name, member)
+    before = sum(
+        one.zone == member.zone and rank(other, one) < own_rank
+        for other, one in state.registered.items()
+    )
+    return before < _LIKELY_ENTRIES
 
 
 def silence_limit(beat: Beat) -> Nanoseconds:
@@ -150,16 +197,18 @@
 
 def fleet_size(state: PresenceState) -> int:
     """Return how many daemons may be alive, this one included."""
-    return _possible(state, len(state.registered))
+    zones = {member.zone for member in state.registered.values()}
+    known = sum(zone_size(state, zone) for zone in zones)
+    return _possible(state, known)
 
 
 def region_size(
     state: PresenceState, region: str, regions: Mapping[str, str]
 ) -> int:
     """Return how many daemons of a region may be alive."""
+    zones = {member.zone for member in state.registered.values()}
     near = sum(
-        regions.get(member.zone) == region
-        for member in state.registered.values()
+        zone_size(state, zone) for zone in zones if regions.get(zone) == region
     )
     return _possible(state, near)
 
--- a/packages/core/src/geraniumshelf_core/presence/state.py
+++ b/packages/core/src/geraniumshelf_core/presence/state.py
@@ -33,6 +33,7 @@
         is_standby: Whether it takes none because others do, and would.
         cores: Processor that its platform gives it, in cores.
         rate: Requests a second that callers send to it, smoothed.
+        zone_size: Daemons of its zone that may be alive, as it knows.
         next_in: Time until its next beat to the same instance.
         known: IP addresses of some instances that it knows.
     """
@@ -47,6 +48,7 @@
     is_standby: bool = False
     cores: float = 1
     rate: float = 0
+    zone_size: int = 0
     next_in: Nanoseconds = 0
     known: tuple[str, ...] = ()
 
@@ -97,6 +99,7 @@
         targets: IP addresses to send beats to, with the name of the
             instance if it is known.
         registered: Every instance that is or was registered, by name.
+        zone_sizes: Most daemons that one of a zone has told of, by zone.
         is_complete: Whether the registry has been read.
     """
 
@@ -104,4 +107,5 @@
     neighbours: dict[str, Neighbour] = field(factory=dict)
     targets: dict[str, str] = field(factory=dict)
     registered: dict[str, Member] = field(factory=dict)
+    zone_sizes: dict[str, int] = field(factory=dict)
     is_complete: bool = False
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -49,6 +49,7 @@
         _NUMBER,
         _NUMBER,
         int,
+        int,
         list,
     ),
     ShareRequest: (str, int, dict),
--- a/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
@@ -8,7 +8,14 @@
 from attrs import evolve
 
 from geraniumshelf_core.presence.commands import forget_silent, record_beat
-from geraniumshelf_core.presence.queries import beat_interval
+from geraniumshelf_core.presence.queries import (
+    FAR_INTERVAL_NS,
+    beat_interval,
+    is_large,
+    is_relay,
+    zone_beats,
+    zone_size,
+)
 from geraniumshelf_core.presence.state import Beat, PresenceState
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
@@ -17,6 +24,7 @@
 
 # Addresses in one datagram, chosen at random; the registry holds all of them.
 _MOST_KNOWN: Final = 16
+_MOST_KNOWN_IN_LARGE: Final = 2
 # Time between two rounds of beats; not all instances get one in each.
 _ROUND_S: Final = 0.5
 # Beats of all daemons must not fall together.
@@ -77,21 +85,40 @@
             self._own = evolve(own, is_ready=is_ready, is_standby=is_standby)
             self._due.clear()
             self.send(self._clock())
+            self._tell_far_entries()
+
+    def _tell_far_entries(self) -> None:
+        """Tell the entries that get no beats any more of the change."""
+        datagram = encode_message(evolve(self._own, next_in=FAR_INTERVAL_NS))
+        for neighbour in self._state.neighbours.values():
+            beat = neighbour.beat
+            if beat.is_standby or beat.zone == self._own.zone:
+                continue
+            if beat_interval(self._state, self._own, beat.name) is None:
+                self._port.send_encoded(beat.ip, datagram)
 
     def send(self, now: Nanoseconds) -> None:
         """Send a beat to all known instances whose turn it is."""
         targets = self._state.targets
         known = tuple(targets)
-        if len(known) > _MOST_KNOWN:
-            known = tuple(self._random.sample(known, _MOST_KNOWN))
+        most = _MOST_KNOWN
+        if is_large(self._state):
+            most = _MOST_KNOWN_IN_LARGE
+        if len(known) > most:
+            known = tuple(self._random.sample(known, most))
         self._own = evolve(
-            self._own, sequence=self._own.sequence + 1, known=known
+            self._own,
+            sequence=self._own.sequence + 1,
+            known=known,
+            zone_size=zone_size(self._state, self._own.zone),
         )
         datagrams: dict[Nanoseconds, bytes] = {}
         for ip, name in tuple(targets.items()):
             if self._due.get(ip, 0) > now + _EARLY_NS:
                 continue
             interval = beat_interval(self._state, self._own, name)
+            if interval is None:
+                continue
             if interval not in datagrams:
                 beat = evolve(self._own, next_in=interval)
                 datagrams[interval] = encode_message(beat)
@@ -99,10 +126,25 @@
             self._port.send_encoded(ip, datagrams[interval])
 
     def _take_beat(self, beat: Beat) -> None:
-        if beat.name != self._own.name and record_beat(
-            self._state, beat, self._clock()
-        ):
+        if beat.name == self._own.name:
+            return
+        is_new = record_beat(self._state, beat, self._clock())
+        if is_new:
             log_event(Event.INSTANCE_FOUND, beat.name, zone=beat.zone)
             interval = beat_interval(self._state, self._own, beat.name)
-            answer = evolve(self._own, next_in=interval)
-            self._port.send(beat.ip, answer)
+            if interval is not None:
+                answer = evolve(self._own, next_in=interval)
+                self._port.send(beat.ip, answer)
+        self._relay(beat)
+
+    def _relay(self, beat: Beat) -> None:
+        """Tell the standbys of the zone of an entry of another one."""
+        own = self._own
+        if beat.zone == own.zone or not is_large(self._state):
+            return
+        if not is_relay(self._state, own):
+            return
+        datagram = encode_message(beat)
+        for near in zone_beats(self._state, own.zone):
+            if near.is_standby:
+                self._port.send_encoded(near.ip, datagram)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/registry.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/registry.py
@@ -7,6 +7,7 @@
 from geraniumshelf_core.errors import PlatformError
 from geraniumshelf_core.presence.commands import register_instance
 from geraniumshelf_core.presence.duty import SETTLE_MS, Duty
+from geraniumshelf_core.presence.queries import is_large
 from geraniumshelf_core.presence.state import Member, PresenceState
 from geraniumshelf_daemon.edge.interface import (
     ListedInstance,
@@ -19,6 +20,8 @@
 # Heartbeats tell of new instances sooner; the registry also names those that
 # were never heard.
 _PAUSE_S: Final = 10.0
+# In a large fleet each list is long; the daemons of a zone count each other.
+_LARGE_PAUSE_S: Final = 60.0
 _RETRY_PAUSE_S: Final = 0.5
 # At a first start all instances store their entries at about the same time.
 _FIRST_PAUSE_S: Final = SETTLE_MS / 1000 / 2
@@ -47,7 +50,6 @@
     async def run(self) -> None:
         """Follow the registry until the task is cancelled."""
         while True:
-            pause = _PAUSE_S
             was_registered = self._is_registered
             try:
                 await self._read()
@@ -55,10 +57,14 @@
                 log_event(Event.PLATFORM_LOST, error.detail)
                 pause = _PAUSE_S if self._is_registered else _RETRY_PAUSE_S
             else:
-                if not was_registered and not self._duty.was_registered:
-                    pause = _FIRST_PAUSE_S
+                is_first = not was_registered and not self._duty.was_registered
+                pause = _FIRST_PAUSE_S if is_first else self._usual_pause()
             await asyncio.sleep(pause * (0.5 + self._random.random()))
 
+    def _usual_pause(self) -> float:
+        is_often = self._duty.is_entry or not is_large(self._presence)
+        return _PAUSE_S if is_often else _LARGE_PAUSE_S
+
     async def _read(self) -> None:
         view = await self._store.list_records(
             SiteKind.INSTANCES, may_be_old=self._is_registered
