Follow the store closely at one entry of a zone; pass connections on at standbys

A standby that a caller with an old address reached began to follow the store, too.

Change: one entry of a zone renews early, the others after 25 s; beats tell them of a change that they have missed, and when the word of the lead is old the next one leads. Changes of 1 s are fetched together in a large fleet. While the store is in trouble the others ask it less often, and the waits are short. A standby passes connections to one entry whose configuration the store has just confirmed, never to an older one. The early wait ends 1 s before the bound instead of 0.3 s, as a lost answer shows only 0.8 s after it.

--- a/packages/core/src/geraniumshelf_core/presence/state.py
+++ b/packages/core/src/geraniumshelf_core/presence/state.py
@@ -1,8 +1,14 @@
 """What one daemon knows of the others by their heartbeats."""
 
+from typing import Final
+
 from attrs import define, field, frozen
 
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+
+# Age of the word of the store of a daemon that has none.
+_LONG_AGO_S: Final = 3600
+LONG_AGO_NS: Final[Nanoseconds] = _LONG_AGO_S * SECOND_NS
 
 
 @frozen
@@ -33,6 +39,9 @@
         is_standby: Whether it takes none because others do, and would.
         cores: Processor that its platform gives it, in cores.
         rate: Requests a second that callers send to it, smoothed.
+        word_age: Time since the store last told it that it has the newest
+            configuration.
+        changes: Revision of the last change of each kind that it follows.
         zone_size: Daemons of its zone that may be alive, as it knows.
         next_in: Time until its next beat to the same instance.
         known: IP addresses of some instances that it knows.
@@ -48,6 +57,8 @@
     is_standby: bool = False
     cores: float = 1
     rate: float = 0
+    word_age: Nanoseconds = LONG_AGO_NS
+    changes: tuple[int, ...] = ()
     zone_size: int = 0
     next_in: Nanoseconds = 0
     known: tuple[str, ...] = ()
--- /dev/null
+++ b/packages/core/src/geraniumshelf_core/presence/words.py
@@ -0,0 +1,158 @@
+"""How closely a daemon follows the store, and whose word of it is fresh.
+
+Answers a fleet whose calls to the store grow with its entries. A watch brings a
+change at once; it is only renewed early because it may have been silenced on
+the way. In a large fleet one entry of a zone, the lead, renews its watches
+early. The others wait longer: beats tell them of a change that their own watch
+has missed.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+from attrs import define
+
+from geraniumshelf_core.membership.ranking import best_ranked
+from geraniumshelf_core.presence.queries import is_large
+from geraniumshelf_core.presence.state import Beat, Neighbour, PresenceState
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
+
+# Below the longest wait that the store allows, 30 s.
+_LONG_WAIT_S: Final = 25
+_LONG_WAIT_NS: Final[Nanoseconds] = _LONG_WAIT_S * SECOND_NS
+# A watch that was silenced on the way is noticed when its wait is over and no
+# answer has come for 0.8 s. That must happen before the daemon counts as in
+# touch again.
+_MARGIN_MS: Final = 1000
+_MARGIN_NS: Final[Nanoseconds] = _MARGIN_MS * MILLISECOND_NS
+# Changes of this time are fetched together. The bounds on what a daemon learns
+# from the store are 2 s and more, and 3 s and more in large fleets.
+_GATHER_MS: Final = 300
+_GATHER_NS: Final[Nanoseconds] = _GATHER_MS * MILLISECOND_NS
+_GATHER_IN_LARGE_NS: Final[Nanoseconds] = SECOND_NS
+
+
+@define
+class Passing:
+    """To whom a standby passes the connections that come to it.
+
+    Attributes:
+        target: Name of the entry.
+        used_at: Last time at which a request came through this daemon.
+    """
+
+    target: str = ''
+    used_at: Nanoseconds = 0
+
+
+def watch_wait(
+    state: PresenceState,
+    own: Beat,
+    contact: Nanoseconds,
+    now: Nanoseconds,
+) -> Nanoseconds:
+    """Return how long a watch may wait for a change.
+
+    Args:
+        state: What is known of the other daemons.
+        own: The newest beat of this daemon.
+        contact: Time after a fault within which the daemon is in touch again.
+        now: Current time.
+    """
+    if is_lead(state, own, contact, now):
+        return contact - _MARGIN_NS
+    return _LONG_WAIT_NS
+
+
+def gather_time(state: PresenceState) -> Nanoseconds:
+    """Return the time between two calls that bring changes.
+
+    Each change of a backend server ends the watches of all entries.
+    """
+    return _GATHER_IN_LARGE_NS if is_large(state) else _GATHER_NS
+
+
+def is_lead(
+    state: PresenceState, own: Beat, contact: Nanoseconds, now: Nanoseconds
+) -> bool:
+    """Return whether this daemon renews its watches early.
+
+    Every entry of a small fleet does. In a large one it is the first entry of
+    the zone whose word is fresh; two for a moment are harmless.
+    """
+    if not is_large(state):
+        return True
+    return not any(
+        neighbour.beat.name < own.name
+        for neighbour in _fresh_entries(state, own.zone, contact, now)
+    )
+
+
+def missed_changes(
+    state: PresenceState, own: Beat, kind: int, seen: int
+) -> bool:
+    """Return whether an entry of the zone knows of a change that is newer.
+
+    Args:
+        state: What is known of the other daemons.
+        own: The newest beat of this daemon.
+        kind: Place of the kind in the changes of a beat.
+        seen: Revision up to which this daemon has seen all changes.
+    """
+    return any(
+        neighbour.beat.changes[kind] > seen
+        for neighbour in state.neighbours.values()
+        if neighbour.beat.zone == own.zone
+        and len(neighbour.beat.changes) > kind
+    )
+
+
+def choose_target(
+    state: PresenceState,
+    passing: Passing,
+    own: Beat,
+    fresh: Nanoseconds,
+    now: Nanoseconds,
+) -> Beat | None:
+    """Return the entry that gets the connections of this standby.
+
+    It stays the same one, as another may have an older configuration. A new
+    one is chosen only if the store has confirmed its configuration since the
+    last request.
+
+    Args:
+        state: What is known of the other daemons.
+        passing: To whom connections were passed.
+        own: The newest beat of this daemon.
+        fresh: Age up to which a word of the store is fresh.
+        now: Current time.
+    """
+    entries = {
+        neighbour.beat.name: neighbour
+        for neighbour in _fresh_entries(state, own.zone, fresh, now)
+    }
+    current = entries.get(passing.target)
+    if current is None:
+        later = (
+            name
+            for name, neighbour in entries.items()
+            if now - word_age(neighbour, now) > passing.used_at
+        )
+        passing.target = best_ranked(own.name, later) or ''
+        current = entries.get(passing.target)
+    return current.beat if current else None
+
+
+def word_age(neighbour: Neighbour, now: Nanoseconds) -> Nanoseconds:
+    """Return the age of what a daemon last heard of the store."""
+    return neighbour.beat.word_age + now - neighbour.heard_at
+
+
+def _fresh_entries(
+    state: PresenceState, zone: str, fresh: Nanoseconds, now: Nanoseconds
+) -> Iterator[Neighbour]:
+    for neighbour in state.neighbours.values():
+        beat = neighbour.beat
+        is_entry = beat.zone == zone and beat.is_ready
+        if is_entry and word_age(neighbour, now) <= fresh:
+            yield neighbour
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -1,26 +1,15 @@
 """Life of a daemon on a platform that lists the backend servers."""
 
 import asyncio
-import os
 from collections.abc import Callable
 from random import Random
 from typing import Final
 
 from attrs import evolve
 
-from geraniumshelf_core.presence.commands import (
-    add_target,
-    measure_rate,
-    register_instance,
-)
+from geraniumshelf_core.presence.commands import measure_rate
 from geraniumshelf_core.presence.duty import Duty
-from geraniumshelf_core.presence.state import (
-    Beat,
-    Member,
-    PresenceState,
-    RequestRate,
-)
-from geraniumshelf_core.shares.messages import TokenGrant
+from geraniumshelf_core.presence.state import RequestRate
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
     Nanoseconds,
@@ -28,18 +17,17 @@
 )
 from geraniumshelf_daemon.edge.attempt import AttemptTools
 from geraniumshelf_daemon.edge.clock import boot_time
-from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.directory import (
     Directory,
     MetricsPage,
     ReadyCheck,
 )
+from geraniumshelf_daemon.edge.fleet import FleetLink
 from geraniumshelf_daemon.edge.following import Following, guard_task
 from geraniumshelf_daemon.edge.interface import HeaderCodec, SiteStore
-from geraniumshelf_daemon.edge.lending import ShareExchange
 from geraniumshelf_daemon.edge.limits import divide_limits, fleet_sizes
-from geraniumshelf_daemon.edge.peers import Heartbeats
-from geraniumshelf_daemon.edge.registry import Registry
+from geraniumshelf_daemon.edge.listeners import Listeners
+from geraniumshelf_daemon.edge.passing import ConnectionPasser
 from geraniumshelf_daemon.edge.relay import Relay
 from geraniumshelf_daemon.edge.settings import EdgeSettings
 from geraniumshelf_daemon.edge.spilling import Spills
@@ -48,7 +36,7 @@
     apply_bounds,
     build_state,
 )
-from geraniumshelf_daemon.edge.tokens import AccountTokens
+from geraniumshelf_daemon.edge.words import StoreWords
 from geraniumshelf_daemon.front.server import FrontServer
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.observability.exposition import Exposition
@@ -90,66 +78,60 @@
         self._random = random or Random()
         bounds = settings.bounds
         self._state = build_state(settings, clock())
-        self._presence = PresenceState(settings.ip)
-        self._port = DatagramPort(settings.peer_port)
-        self._heartbeats = Heartbeats(
-            self._presence,
-            _first_beat(settings),
-            self._port,
-            clock,
-            self._random,
+        self._fleet = FleetLink(
+            settings, self._state.quotas, clock, self._random
         )
-        self._shares = ShareExchange(
-            self._presence,
-            self._state.quotas,
-            self._port,
-            lambda: self._heartbeats.own,
-            clock,
-            self._random,
-            settings.regions,
-        )
-        tokens = AccountTokens(
-            self._state.quotas,
-            clock,
-            self._shares.ask_tokens,
-            self._shares.has_owner,
-        )
-        self._port.register(TokenGrant, tokens.take_grant)
+        self._presence = self._fleet.presence
         self._duty = Duty(clock())
         self._rate = RequestRate(measured_at=clock())
+        self._words = StoreWords(
+            self._presence,
+            self._fleet.own_beat,
+            lambda: self._settings.bounds,
+        )
         self._following = Following(
-            self._state, store, clock, self._random, self._divide
+            self._state,
+            store,
+            clock,
+            self._random,
+            self._divide,
+            self._words.rules,
         )
         self._standby = Standby(
             self._duty,
             self._following,
             self._presence,
             self._state.quotas.holding,
-            lambda: self._heartbeats.own,
+            self._fleet.own_beat,
         )
         self._pool = ConnectionPool(_IDLE_CONNECTIONS, _CONNECT_TIMEOUT_NS)
         relay = Relay(
             self._state,
             AttemptTools(self._pool, codec, clock),
-            tokens,
+            self._fleet.tokens,
             clock,
             self._random,
         )
         directory = Directory(
             self._presence,
             settings.regions,
-            lambda: self._heartbeats.own,
+            self._fleet.own_beat,
             bounds.longest_ttl,
         )
-        self._front = FrontServer(relay.serve, _IDLE_TIMEOUT_S)
-        self._directory = FrontServer(directory.serve, _IDLE_TIMEOUT_S)
-        self._ready = FrontServer(
-            ReadyCheck(self._is_ready).serve, _IDLE_TIMEOUT_S
+        self._passer = ConnectionPasser(
+            self._presence,
+            self._state,
+            self._fleet.own_beat,
+            lambda: self._settings.bounds,
+            clock,
         )
         exposition = Exposition()
         install_metrics(exposition)
-        self._metrics = FrontServer(
-            MetricsPage(exposition).serve, _IDLE_TIMEOUT_S
+        self._listeners = Listeners(
+            FrontServer(relay.serve, _IDLE_TIMEOUT_S, self._passer.divert),
+            FrontServer(directory.serve, _IDLE_TIMEOUT_S),
+            FrontServer(ReadyCheck(self._is_ready).serve, _IDLE_TIMEOUT_S),
+            FrontServer(MetricsPage(exposition).serve, _IDLE_TIMEOUT_S),
         )
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -164,36 +146,10 @@
             OSError: If an address is in use.
         """
         settings = self._settings
-        for server, address in (
-            (self._ready, settings.ready_address),
-            (self._front, settings.front_address),
-            (self._directory, settings.directory_address),
-            (self._metrics, settings.metrics_address),
-        ):
-            if address:
-                host, _, port = address.rpartition(':')
-                server.listen(host, int(port))
-        await self._port.listen(settings.ip)
-        register_instance(
-            self._presence,
-            settings.name,
-            Member(settings.zone, settings.cores),
-            settings.ip,
-        )
-        for seed in settings.seeds:
-            add_target(self._presence, seed)
-        for step in (
-            self._heartbeats.run,
-            self._shares.run,
-            Registry(
-                self._store,
-                self._presence,
-                settings,
-                self._random,
-                self._duty,
-            ).run,
-            self._tick,
-        ):
+        self._listeners.listen(settings)
+        await self._fleet.listen()
+        steps = self._fleet.make_steps(self._store, self._duty)
+        for step in (*steps, self._tick):
             self._tasks.append(asyncio.create_task(guard_task(step)))
         log_event(Event.DAEMON_STARTED, settings.name, zone=settings.zone)
 
@@ -219,14 +175,14 @@
         """Let callers leave, finish their requests and close everything."""
         begun = self._clock()
         self._state.is_stopping = True
-        self._heartbeats.announce(is_ready=False, is_standby=False)
-        self._front.stop_keep_alive()
+        self._fleet.heartbeats.announce(is_ready=False, is_standby=False)
+        self._listeners.front.stop_keep_alive()
         await asyncio.sleep(_LEAVE_S)
-        self._front.stop_accepting()
+        self._listeners.front.stop_accepting()
         grace = round(self._settings.bounds.grace * _GRACE_PART)
         # Connections are counted and not tasks: a request that was just read
         # has no task that runs yet.
-        while self._front.close_idle() and self._clock() - begun < grace:
+        while self._close_idle() and self._clock() - begun < grace:
             await asyncio.sleep(_POLL_S)
         await self.close()
         log_event(
@@ -241,17 +197,16 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._following.stop()
-        for server in (
-            self._front,
-            self._directory,
-            self._ready,
-            self._metrics,
-        ):
-            await server.close()
+        await self._passer.close()
+        await self._listeners.close()
         install_metrics(None)
-        self._port.close()
+        self._fleet.close()
         self._pool.close()
 
+    def _close_idle(self) -> int:
+        passed = self._passer.close_quiet(self._clock(), is_stopping=True)
+        return passed + self._listeners.front.close_idle()
+
     def _is_ready(self) -> bool:
         return self._state.is_loaded and not self._stopping.is_set()
 
@@ -260,11 +215,16 @@
         while True:
             now = self._clock()
             if not self._stopping.is_set():
-                await self._standby.adjust(self._state, self._settings, now)
+                await self._standby.adjust(self._state, now)
             self._following.forget_removed(now)
             self._spills.adjust(now)
+            self._passer.close_quiet(now, is_stopping=False)
             measure_rate(self._rate, self._state.asked, now)
-            self._heartbeats.announce(
+            self._following.renew_missed(self._words.has_missed, now)
+            self._fleet.heartbeats.confirm(
+                self._following.word_at, self._following.changes
+            )
+            self._fleet.heartbeats.announce(
                 is_ready=self._is_ready(),
                 is_standby=self._standby.is_standby
                 and not self._stopping.is_set(),
@@ -289,17 +249,4 @@
             self._clock(),
         )
         idle_s = ns_to_seconds(table.configuration.limits.idle_time)
-        self._front.set_idle_timeout(idle_s)
-
-
-def _first_beat(settings: EdgeSettings) -> Beat:
-    return Beat(
-        settings.name,
-        int.from_bytes(os.urandom(4)),
-        0,
-        settings.zone,
-        settings.ip,
-        settings.front_address,
-        is_ready=False,
-        cores=settings.cores,
-    )
+        self._listeners.front.set_idle_timeout(idle_s)
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -0,0 +1,118 @@
+"""What a daemon exchanges with the other daemons."""
+
+import os
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from geraniumshelf_core.presence.commands import (
+    add_target,
+    register_instance,
+)
+from geraniumshelf_core.presence.duty import Duty
+from geraniumshelf_core.presence.state import Beat, Member, PresenceState
+from geraniumshelf_core.shares.messages import TokenGrant
+from geraniumshelf_core.shares.quotas import Quotas
+from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.edge.datagrams import DatagramPort
+from geraniumshelf_daemon.edge.interface import SiteStore
+from geraniumshelf_daemon.edge.lending import ShareExchange
+from geraniumshelf_daemon.edge.peers import Heartbeats
+from geraniumshelf_daemon.edge.registry import Registry
+from geraniumshelf_daemon.edge.settings import EdgeSettings
+from geraniumshelf_daemon.edge.tokens import AccountTokens
+
+Step = Callable[[], Awaitable[None]]
+
+
+class FleetLink:
+    """Heartbeats, shares, tokens and the registry of instances.
+
+    Attributes:
+        presence: What is known of the other daemons.
+        heartbeats: Tells them of this one.
+        tokens: Gives out the tokens of accounts.
+
+    Args:
+        settings: Where this daemon runs.
+        quotas: Its shares.
+        clock: Returns the current time, nanoseconds.
+        random: Spreads the messages of the daemons.
+    """
+
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        quotas: Quotas,
+        clock: Callable[[], Nanoseconds],
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._random = random
+        self.presence = PresenceState(settings.ip)
+        self._port = DatagramPort(settings.peer_port)
+        self.heartbeats = Heartbeats(
+            self.presence, _first_beat(settings), self._port, clock, random
+        )
+        self._shares = ShareExchange(
+            self.presence,
+            quotas,
+            self._port,
+            self.own_beat,
+            clock,
+            random,
+            settings.regions,
+        )
+        self.tokens = AccountTokens(
+            quotas, clock, self._shares.ask_tokens, self._shares.has_owner
+        )
+        self._port.register(TokenGrant, self.tokens.take_grant)
+
+    def own_beat(self) -> Beat:
+        """Return the newest beat of this daemon."""
+        return self.heartbeats.own
+
+    async def listen(self) -> None:
+        """Open the socket for the other daemons.
+
+        Raises:
+            OSError: If the address is in use.
+        """
+        settings = self._settings
+        await self._port.listen(settings.ip)
+        register_instance(
+            self.presence,
+            settings.name,
+            Member(settings.zone, settings.cores),
+            settings.ip,
+        )
+        for seed in settings.seeds:
+            add_target(self.presence, seed)
+
+    def make_steps(self, store: SiteStore, duty: Duty) -> tuple[Step, ...]:
+        """Return what runs until the daemon ends.
+
+        Args:
+            store: The platform's store, which keeps the registry.
+            duty: Takes whether this instance was registered before.
+        """
+        registry = Registry(
+            store, self.presence, self._settings, self._random, duty
+        )
+        return self.heartbeats.run, self._shares.run, registry.run
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._port.close()
+
+
+def _first_beat(settings: EdgeSettings) -> Beat:
+    return Beat(
+        settings.name,
+        int.from_bytes(os.urandom(4)),
+        0,
+        settings.zone,
+        settings.ip,
+        settings.front_address,
+        is_ready=False,
+        cores=settings.cores,
+    )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/following.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/following.py
@@ -14,10 +14,20 @@
     ServerSink,
 )
 from geraniumshelf_daemon.edge.state import RelayState
-from geraniumshelf_daemon.edge.watching import RecordSink, Watcher
+from geraniumshelf_daemon.edge.watching import (
+    RecordSink,
+    Watcher,
+    WatchRules,
+)
 from geraniumshelf_daemon.observability.events import Event, log_event
 
 _RETRY_PAUSE_S: Final = 0.5
+# The order of the changes in a beat.
+_KINDS: Final = (
+    SiteKind.CONFIGURATION,
+    SiteKind.SERVERS,
+    SiteKind.EVACUATIONS,
+)
 
 
 class Following:
@@ -30,7 +40,20 @@
         clock: Callable[[], Nanoseconds],
         random: Random,
         on_change: Callable[[], None],
+        rules: WatchRules,
     ) -> None:
+        """Prepare to follow the store.
+
+        Args:
+            state: What the decisions about requests work on.
+            store: The platform's store.
+            clock: Returns the current time, nanoseconds.
+            random: Spreads the calls of the daemons.
+            on_change: Called with each new configuration.
+            rules: Decisions about the watches.
+        """
+        self._rules = rules
+        self._watchers: tuple[Watcher, ...] = ()
         self._state = state
         self._store = store
         self._clock = clock
@@ -39,26 +62,50 @@
         self._servers = ServerSink(state)
         self._tasks: list[asyncio.Task[None]] = []
 
-    def start(self, contact: Nanoseconds) -> None:
-        """Begin to follow the store.
+    @property
+    def word_at(self) -> Nanoseconds | None:
+        """Return when the store last confirmed the configuration."""
+        return self._watchers[0].word_at if self._watchers else None
+
+    @property
+    def changes(self) -> tuple[int, ...]:
+        """Return the revision of the last change of each kind."""
+        return tuple(watcher.changed_at for watcher in self._watchers)
+
+    def renew_missed(
+        self, has_missed: Callable[[int, int], bool], now: Nanoseconds
+    ) -> None:
+        """Ask again where a watch has missed a change.
 
         Args:
-            contact: Time after a fault within which the daemon is back in
-                touch.
+            has_missed: Tells it from the place of the kind in ``changes`` and
+                the revision up to which it is known.
+            now: Current time.
         """
+        for place, watcher in enumerate(self._watchers):
+            if has_missed(place, watcher.seen):
+                watcher.renew(now)
+
+    def start(self) -> None:
+        """Begin to follow the store."""
         self._servers = ServerSink(self._state)
-        sinks: tuple[tuple[SiteKind, RecordSink], ...] = (
-            (SiteKind.SERVERS, self._servers),
-            (
-                SiteKind.CONFIGURATION,
-                ConfigurationSink(self._state, self._on_change),
-            ),
-            (SiteKind.EVACUATIONS, EvacuationSink(self._state)),
+        sinks: tuple[RecordSink, ...] = (
+            ConfigurationSink(self._state, self._on_change),
+            self._servers,
+            EvacuationSink(self._state),
         )
-        for kind, sink in sinks:
-            watcher = Watcher(
-                self._store, kind, sink, self._clock, self._random, contact
+        self._watchers = tuple(
+            Watcher(
+                self._store,
+                kind,
+                sink,
+                self._clock,
+                self._random,
+                self._rules,
             )
+            for kind, sink in zip(_KINDS, sinks, strict=True)
+        )
+        for watcher in self._watchers:
             self._tasks.append(asyncio.create_task(guard_task(watcher.run)))
 
     async def stop(self) -> None:
@@ -72,6 +119,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self._watchers = ()
         self._state.table = None
         self._state.has_servers = False
         self._state.has_evacuations = False
--- a/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
@@ -149,10 +149,13 @@
     Attributes:
         revision: Revision of the store.
         records: Record by name; ``None`` for a removed or unreadable one.
+        changed_at: Revision of the last change among them; 0 if it isn't
+            known.
     """
 
     revision: int
     records: Mapping[str, Record | None]
+    changed_at: int = 0
 
 
 class SiteStore(Protocol):
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -1,6 +1,6 @@
 """Datagrams between daemons, encoded in CBOR."""
 
-from typing import Final
+from typing import Any, Final
 
 import cbor2
 from attrs import astuple
@@ -49,6 +49,8 @@
         _NUMBER,
         _NUMBER,
         int,
+        list,
+        int,
         int,
         list,
     ),
@@ -79,19 +81,18 @@
         return None
     if not all(map(isinstance, fields, types)):
         return None
-    fields[-1] = _clean(fields[-1])
-    return wanted(*fields)
+    return wanted(*map(_clean, fields))
 
 
-def _clean(last: object) -> object:
-    match last:
+def _clean(field: Any) -> Any:
+    match field:
         case list():
-            return tuple(ip for ip in last if isinstance(ip, str))
+            return tuple(one for one in field if isinstance(one, str | int))
         case dict():
             return {
                 name: float(part)
-                for name, part in last.items()
+                for name, part in field.items()
                 if isinstance(name, str) and isinstance(part, int | float)
             }
         case _:
-            return last
+            return field
--- a/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
@@ -16,7 +16,11 @@
     zone_beats,
     zone_size,
 )
-from geraniumshelf_core.presence.state import Beat, PresenceState
+from geraniumshelf_core.presence.state import (
+    LONG_AGO_NS,
+    Beat,
+    PresenceState,
+)
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.messages import encode_message
@@ -50,6 +54,7 @@
         self._port = port
         self._clock = clock
         self._random = random
+        self._word_at: Nanoseconds | None = None
         # Time of the next beat by IP address.
         self._due: dict[str, Nanoseconds] = {}
         port.register(Beat, self._take_beat)
@@ -69,6 +74,18 @@
             spread = 1 + _INTERVAL_SPREAD * (self._random.random() - 0.5)
             await asyncio.sleep(_ROUND_S * spread)
 
+    def confirm(
+        self, word_at: Nanoseconds | None, changes: tuple[int, ...]
+    ) -> None:
+        """Take over what the next beats tell of the store.
+
+        Args:
+            word_at: Time at which it last confirmed the configuration.
+            changes: Revision of the last change of each kind.
+        """
+        self._word_at = word_at
+        self._own = evolve(self._own, changes=changes)
+
     def announce(
         self, *, is_ready: bool, is_standby: bool, rate: float = 0
     ) -> None:
@@ -111,6 +128,9 @@
             sequence=self._own.sequence + 1,
             known=known,
             zone_size=zone_size(self._state, self._own.zone),
+            word_age=(
+                LONG_AGO_NS if self._word_at is None else now - self._word_at
+            ),
         )
         datagrams: dict[Nanoseconds, bytes] = {}
         for ip, name in tuple(targets.items()):
--- a/packages/daemon/src/geraniumshelf_daemon/edge/registry.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/registry.py
@@ -55,13 +55,14 @@
                 await self._read()
             except PlatformError as error:
                 log_event(Event.PLATFORM_LOST, error.detail)
-                pause = _PAUSE_S if self._is_registered else _RETRY_PAUSE_S
-            else:
-                is_first = not was_registered and not self._duty.was_registered
-                pause = _FIRST_PAUSE_S if is_first else self._usual_pause()
+            pause = self._pause(was_registered=was_registered)
             await asyncio.sleep(pause * (0.5 + self._random.random()))
 
-    def _usual_pause(self) -> float:
+    def _pause(self, *, was_registered: bool) -> float:
+        if not self._is_registered:
+            return _RETRY_PAUSE_S
+        if not was_registered and not self._duty.was_registered:
+            return _FIRST_PAUSE_S
         is_often = self._duty.is_entry or not is_large(self._presence)
         return _PAUSE_S if is_often else _LARGE_PAUSE_S
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
@@ -1,10 +1,15 @@
 """Settings of a daemon whose platform tells it where it runs."""
 
 from collections.abc import Mapping
+from typing import Final
 
 from attrs import field, frozen
 
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
+
+# A request takes less than this from one daemon through another to a server.
+_TELLING_MS: Final = 500
+_TELLING_NS: Final[Nanoseconds] = _TELLING_MS * MILLISECOND_NS
 
 
 @frozen
@@ -13,6 +18,8 @@
 
     Attributes:
         contact: Time after a fault within which an instance is back in touch.
+        apply: Time from the store's word of a configuration until it is in
+            force.
         grace: Time from SIGTERM to SIGKILL.
         retry_ratio: Repeats allowed for each request to a service.
         retry_slack: Repeats allowed beyond, in a window.
@@ -28,6 +35,7 @@
     """
 
     contact: Nanoseconds
+    apply: Nanoseconds
     grace: Nanoseconds
     retry_ratio: float
     retry_slack: float
@@ -40,6 +48,14 @@
     longest_ttl: Nanoseconds
     largest_shift: float
 
+    @property
+    def fresh(self) -> Nanoseconds:
+        """Return the age up to which a confirmed configuration is in force.
+
+        A daemon passes connections to another one up to that age.
+        """
+        return self.apply - _TELLING_NS
+
 
 @frozen
 class EdgeSettings:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/standby.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/standby.py
@@ -7,7 +7,6 @@
 from geraniumshelf_core.shares.holding import Holding, withdraw_share
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.following import Following
-from geraniumshelf_daemon.edge.settings import EdgeSettings
 from geraniumshelf_daemon.edge.state import RelayState
 from geraniumshelf_daemon.observability.events import Event, log_event
 
@@ -47,9 +46,7 @@
         """Return whether other daemons take the callers."""
         return self._duty.is_entry is False
 
-    async def adjust(
-        self, state: RelayState, settings: EdgeSettings, now: Nanoseconds
-    ) -> None:
+    async def adjust(self, state: RelayState, now: Nanoseconds) -> None:
         """Begin or end to follow the store as callers need it."""
         before = self._duty.is_entry
         decide_duty(
@@ -59,7 +56,7 @@
             return
         if self._duty.is_entry:
             log_event(Event.DUTY_CHANGED, 'entry')
-            self._following.start(settings.bounds.contact)
+            self._following.start()
         else:
             log_event(Event.DUTY_CHANGED, 'standby')
             # An earlier run of this daemon ended before this one started.
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
@@ -5,17 +5,20 @@
 from random import Random
 from typing import Final, Protocol
 
+from attrs import frozen
+
 from geraniumshelf_core.errors import PlatformError, ResultCode
-from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.edge.interface import SiteKind, SiteStore, SiteView
 from geraniumshelf_daemon.observability.events import Event, log_event
 
-# A watch that was silenced on the way is noticed when its wait is over. That
-# must happen before the daemon counts as in touch again.
-_MARGIN_S: Final = 0.3
-# Changes of this time are fetched together.
-_GATHER_S: Final = 0.3
 _PAUSE_S: Final = 0.25
+# A watch of a store in trouble may be lost, which shows at the end of its wait.
+_TROUBLE_WAIT_S: Final = 1.0
+# Daemons that don't lead their zone ask a store in trouble less often.
+_LATER_PAUSE_S: Final = 1.0
+# A change that others know of may still be on its way to this daemon.
+_LATE_NS: Final[Nanoseconds] = SECOND_NS // 2
 
 
 class RecordSink(Protocol):
@@ -32,6 +35,21 @@
         """Take over changes."""
 
 
+@frozen
+class WatchRules:
+    """Decisions about watches.
+
+    Attributes:
+        wait: Returns how long a watch may wait, from the current time.
+        is_lead: Returns whether this daemon follows closely.
+        gather: Returns the time of which changes are fetched together.
+    """
+
+    wait: Callable[[Nanoseconds], Nanoseconds]
+    is_lead: Callable[[Nanoseconds], bool]
+    gather: Callable[[], Nanoseconds]
+
+
 class Watcher:
     """Lists and then watches one kind, and starts again when that fails."""
 
@@ -42,7 +60,7 @@
         sink: RecordSink,
         clock: Callable[[], Nanoseconds],
         random: Random,
-        contact: Nanoseconds,
+        rules: WatchRules,
     ) -> None:
         """Prepare to follow a kind.
 
@@ -52,18 +70,37 @@
             sink: Takes what was found.
             clock: Returns the current time, nanoseconds.
             random: Spreads the calls of the daemons.
-            contact: Time after a fault within which the daemon is back in
-                touch.
+            rules: Decisions about watches.
         """
-        self._wait_s = ns_to_seconds(contact) - _MARGIN_S
+        self._rules = rules
         self._store = store
         self._kind = kind
         self._sink = sink
         self._clock = clock
         self._random = random
         self._revision: int | None = None
+        self._changed_at = 0
+        self._word_at: Nanoseconds | None = None
+        self._asked_at: Nanoseconds = 0
+        self._call: asyncio.Future[SiteView] | None = None
+        self._is_renewed = False
         self._is_lost = False
 
+    @property
+    def word_at(self) -> Nanoseconds | None:
+        """Return when the store last told that all changes are known."""
+        return self._word_at
+
+    @property
+    def seen(self) -> int:
+        """Return the revision up to which all changes are known."""
+        return self._revision or 0
+
+    @property
+    def changed_at(self) -> int:
+        """Return the revision of the last change."""
+        return self._changed_at
+
     async def run(self) -> None:
         """Follow the kind until the task is cancelled."""
         while True:
@@ -72,24 +109,59 @@
             except PlatformError as error:
                 await self._recover(error)
 
+    def renew(self, now: Nanoseconds) -> None:
+        """Ask again at once: the watch has missed a change."""
+        if self._call is not None and now - self._asked_at > _LATE_NS:
+            self._is_renewed = True
+            self._call.cancel()
+
     async def _step(self) -> None:
         if self._revision is None:
+            asked_at = self._clock()
             view = await self._store.list_records(self._kind)
             self._sink.replace(view, self._clock(), after_outage=self._is_lost)
-        else:
-            view = await self._store.watch_records(
-                self._kind, self._revision, self._wait_s
-            )
-            if view.records:
-                self._sink.change(
-                    view, self._clock(), after_outage=self._is_lost
-                )
-                await asyncio.sleep(_GATHER_S)
+            self._take_word(view, asked_at)
+            return
+        found = await self._watch(self._revision)
+        if found is None:
+            return
+        now = self._clock()
+        if found.records:
+            self._changed_at = max(self._changed_at, found.changed_at)
+            self._sink.change(found, now, after_outage=self._is_lost)
+        self._take_word(found, now)
+        if found.records:
+            await asyncio.sleep(ns_to_seconds(self._rules.gather()))
+
+    def _take_word(self, view: SiteView, at: Nanoseconds) -> None:
         self._revision = view.revision
+        self._word_at = at
         if self._is_lost:
             self._is_lost = False
             log_event(Event.PLATFORM_FOUND, self._kind.value)
 
+    async def _watch(self, revision: int) -> SiteView | None:
+        """Return the changes after a revision, ``None`` to ask again."""
+        self._asked_at = self._clock()
+        wait_s = ns_to_seconds(self._rules.wait(self._asked_at))
+        if self._is_lost:
+            wait_s = min(wait_s, _TROUBLE_WAIT_S)
+        self._call = asyncio.ensure_future(
+            self._store.watch_records(self._kind, revision, wait_s)
+        )
+        try:
+            return await self._call
+        except asyncio.CancelledError:
+            if not self._is_renewed:
+                raise
+            log_event(
+                Event.WATCH_RESTARTED, self._kind.value, revision=revision
+            )
+            return None
+        finally:
+            self._is_renewed = False
+            self._call = None
+
     async def _recover(self, error: PlatformError) -> None:
         if error.code is ResultCode.WATCH_TOO_OLD:
             log_event(Event.WATCH_RESTARTED, self._kind.value)
@@ -98,4 +170,6 @@
         if not self._is_lost:
             self._is_lost = True
             log_event(Event.PLATFORM_LOST, error.detail)
-        await asyncio.sleep(_PAUSE_S * (1 + self._random.random()))
+        is_lead = self._rules.is_lead(self._clock())
+        pause = _PAUSE_S if is_lead else _LATER_PAUSE_S
+        await asyncio.sleep(pause * (1 + self._random.random()))
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/words.py
@@ -0,0 +1,59 @@
+"""Applies the decisions about how closely the store is followed."""
+
+from collections.abc import Callable
+
+from geraniumshelf_core.presence.state import Beat, PresenceState
+from geraniumshelf_core.presence.words import (
+    gather_time,
+    is_lead,
+    missed_changes,
+    watch_wait,
+)
+from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.edge.settings import EdgeBounds
+from geraniumshelf_daemon.edge.watching import WatchRules
+
+
+class StoreWords:
+    """Decides about watches with what this daemon knows now.
+
+    Args:
+        presence: What is known of the other daemons.
+        own_beat: Returns the newest beat of this daemon.
+        bounds: Returns the bounds in force.
+    """
+
+    def __init__(
+        self,
+        presence: PresenceState,
+        own_beat: Callable[[], Beat],
+        bounds: Callable[[], EdgeBounds],
+    ) -> None:
+        self._presence = presence
+        self._own_beat = own_beat
+        self._bounds = bounds
+
+    @property
+    def rules(self) -> WatchRules:
+        """Return the decisions about watches."""
+        return WatchRules(self._wait, self._leads, self._gather)
+
+    def has_missed(self, kind: int, seen: int) -> bool:
+        """Return whether an entry of the zone knows of a newer change.
+
+        Args:
+            kind: Place of the kind in the changes of a beat.
+            seen: Revision up to which this daemon has seen all changes.
+        """
+        return missed_changes(self._presence, self._own_beat(), kind, seen)
+
+    def _wait(self, now: Nanoseconds) -> Nanoseconds:
+        contact = self._bounds().contact
+        return watch_wait(self._presence, self._own_beat(), contact, now)
+
+    def _gather(self) -> Nanoseconds:
+        return gather_time(self._presence)
+
+    def _leads(self, now: Nanoseconds) -> bool:
+        contact = self._bounds().contact
+        return is_lead(self._presence, self._own_beat(), contact, now)
--- a/packages/daemon/src/geraniumshelf_daemon/front/server.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers."""
 
 import asyncio
+from collections.abc import Callable
 from socket import socket
 from sys import maxsize
 from typing import Any, Final
@@ -33,13 +34,17 @@
     """Accepts callers and starts one task per request."""
 
     def __init__(
-        self, serve: Serve, idle_timeout_s: float = _IDLE_TIMEOUT_S
+        self,
+        serve: Serve,
+        idle_timeout_s: float = _IDLE_TIMEOUT_S,
+        divert: Callable[[IOStream], bool] | None = None,
     ) -> None:
         """Prepare to serve.
 
         Args:
             serve: Serves one request.
             idle_timeout_s: Time for which a connection may be idle.
+            divert: Takes over a new connection, or returns that it does not.
         """
         self._delegate = _Connections(serve)
         self._http = _Listener(
@@ -51,6 +56,7 @@
         # Tornado's timeout begins with the last request, not with its answer.
         self._http.conn_params.header_timeout = None
         self._http.idle_timeout_s = idle_timeout_s
+        self._http.divert = divert
         self._sockets: list[socket] = []
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
@@ -112,12 +118,15 @@
 
 class _Listener(HTTPServer):
     idle_timeout_s: float = _IDLE_TIMEOUT_S
+    divert: Callable[[IOStream], bool] | None = None
 
     def initialize(self, *args: Any, **options: Any) -> None:
         super().initialize(*args, **options)
         self._serving: set[asyncio.Future[None]] = set()
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        if self.divert is not None and self.divert(stream):
+            return
         own = _CallerStream(stream.socket)
         own.set_nodelay(True)
         connections = self.request_callback
--- a/packages/daemon/src/geraniumshelf_daemon/observability/events.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/events.py
@@ -41,6 +41,7 @@
     INSTANCE_FOUND = 306
     INSTANCE_LOST = 307
     DUTY_CHANGED = 308
+    CONNECTION_PASSED = 309
 
     # Allowances and slots.
     SLOT_CLAIMED = 401
--- a/packages/daemon/src/geraniumshelf_daemon/platform/calls.py
+++ b/packages/daemon/src/geraniumshelf_daemon/platform/calls.py
@@ -26,6 +26,11 @@
 _SERVER_ERROR: Final = 500
 
 
+# A call whose caller goes away ends on its own, a watch after its wait; it must
+# not keep others waiting meanwhile.
+_MOST_CALLS: Final = 100
+
+
 class PlatformCalls:
     """Makes calls and turns failures into ``PlatformError``.
 
@@ -51,7 +56,7 @@
         self._base_url = base_url
         self._codes = codes
         self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
-            force_instance=True
+            force_instance=True, max_clients=_MOST_CALLS
         )
         if source_address is not None:
             self._client.tcp_client = _BoundTCPClient(source_address)
--- /dev/null
+++ b/tests/core/presence/test_words.py
@@ -0,0 +1,151 @@
+"""Guards how closely daemons follow the store, and whose word is fresh."""
+
+from attrs import evolve
+from tests.core.presence.test_duty import beat, ready, standby
+
+from geraniumshelf_core.presence.commands import (
+    record_beat,
+    register_instance,
+)
+from geraniumshelf_core.presence.queries import (
+    FAR_INTERVAL_NS,
+    beat_interval,
+    fleet_size,
+    is_relay,
+)
+from geraniumshelf_core.presence.state import Beat, Member, PresenceState
+from geraniumshelf_core.presence.words import (
+    Passing,
+    choose_target,
+    is_lead,
+    missed_changes,
+    watch_wait,
+)
+from geraniumshelf_core.units import SECOND_NS
+
+_CONTACT = 4 * SECOND_NS
+_FRESH = 3 * SECOND_NS
+_NOW = 100 * SECOND_NS
+_ME = beat('me')
+
+
+def _large(*beats: Beat, now: int = _NOW) -> PresenceState:
+    """Return what a daemon of a large fleet knows."""
+    state = PresenceState('ip me', is_complete=True)
+    for number in range(40):
+        register_instance(state, f'n{number}', Member('b1'), f'ip {number}')
+    for one in beats:
+        record_beat(state, one, now)
+    return state
+
+
+def _confirmed(name: str, age_s: float = 1) -> Beat:
+    return evolve(ready(name), word_age=round(age_s * SECOND_NS))
+
+
+def test_one_entry_of_a_zone_renews_its_watches_early() -> None:
+    """Calls to the store are priced, and all entries would make them."""
+    state = _large(_confirmed('a'), _confirmed('z'))
+    assert not is_lead(state, _ME, _CONTACT, _NOW)
+    assert watch_wait(state, _ME, _CONTACT, _NOW) > 20 * SECOND_NS
+    first = _large(_confirmed('z'))
+    assert watch_wait(first, _ME, _CONTACT, _NOW) < _CONTACT
+
+
+def test_entry_leads_once_the_word_of_the_lead_is_old() -> None:
+    """A lead that is cut off from the store notices nothing for the others."""
+    state = _large(_confirmed('a'))
+    assert not is_lead(state, _ME, _CONTACT, _NOW)
+    assert is_lead(state, _ME, _CONTACT, _NOW + _CONTACT)
+    assert is_lead(_large(_confirmed('a', 5)), _ME, _CONTACT, _NOW)
+
+
+def test_all_daemons_of_a_small_fleet_follow_closely() -> None:
+    """Its few calls cost little, and its zones have one or two daemons."""
+    state = PresenceState('ip me', is_complete=True)
+    record_beat(state, _confirmed('a'), _NOW)
+    assert is_lead(state, _ME, _CONTACT, _NOW)
+    assert watch_wait(state, _ME, _CONTACT, _NOW) < _CONTACT
+
+
+def test_change_that_the_own_watch_missed_is_noticed() -> None:
+    """A silenced watch would show it only at the end of a long wait."""
+    told = evolve(_confirmed('a'), changes=(7, 20, 3))
+    state = _large(told)
+    assert missed_changes(state, _ME, 1, 19)
+    assert not missed_changes(state, _ME, 1, 20)
+    assert not missed_changes(state, _ME, 0, 19)
+    far = evolve(told, zone='b1')
+    assert not missed_changes(_large(far), _ME, 1, 19)
+    assert not missed_changes(_large(_confirmed('a')), _ME, 1, 0)
+
+
+def test_standby_passes_only_to_an_entry_whose_word_is_fresh() -> None:
+    """An entry that is cut off from the store has an old configuration."""
+    passing = Passing()
+    state = _large(_confirmed('a'))
+    target = choose_target(state, passing, _ME, _FRESH, _NOW)
+    assert target is not None
+    assert target.name == 'a'
+    later = _NOW + _FRESH
+    assert choose_target(state, passing, _ME, _FRESH, later) is None
+    for other in (
+        _confirmed('a', 5),
+        evolve(_confirmed('a'), is_ready=False),
+        evolve(_confirmed('a'), zone='b1'),
+        standby('a'),
+    ):
+        assert (
+            choose_target(_large(other), Passing(), _ME, _FRESH, _NOW) is None
+        )
+
+
+def test_standby_keeps_its_entry_and_never_goes_back_in_time() -> None:
+    """A second entry may learn of a configuration later than the first."""
+    passing = Passing('a', _NOW - SECOND_NS // 2)
+    both = _large(_confirmed('a'), _confirmed('z', 0.1))
+    target = choose_target(both, passing, _ME, _FRESH, _NOW)
+    assert target is not None
+    assert target.name == 'a'
+    older = _large(_confirmed('z', 1))
+    assert choose_target(older, passing, _ME, _FRESH, _NOW) is None
+    passing.target = 'a'
+    newer = _large(_confirmed('z', 0.1))
+    target = choose_target(newer, passing, _ME, _FRESH, _NOW)
+    assert target is not None
+    assert target.name == 'z'
+
+
+def test_only_entries_send_beats_to_other_zones() -> None:
+    """Beats between all daemons grow with the square of the fleet."""
+    far_entry = evolve(ready('far'), zone='b1')
+    far_standby = evolve(standby('idle'), zone='b1')
+    state = _large(far_entry, far_standby, ready('near'))
+    entry, idle = ready('me'), standby('me')
+    assert beat_interval(state, entry, 'far') == FAR_INTERVAL_NS
+    assert beat_interval(state, entry, 'idle') is None
+    assert beat_interval(state, entry, 'n39') is None
+    assert beat_interval(state, idle, 'far') is None
+    assert beat_interval(state, idle, 'near') is not None
+    silent = _large(far_standby)
+    assert beat_interval(silent, entry, 'n39') is not None
+    assert beat_interval(silent, entry, 'n0') == FAR_INTERVAL_NS
+
+
+def test_first_entry_tells_its_zone_of_the_others() -> None:
+    """Directories of standbys would not know where callers may go."""
+    state = _large(ready('z'), ready('a'))
+    assert not is_relay(state, ready('me'))
+    assert is_relay(_large(ready('z')), ready('me'))
+    assert not is_relay(_large(), standby('me'))
+
+
+def test_daemons_that_others_count_divide_the_limits_too() -> None:
+    """New daemons of another zone send no beats to this one."""
+    state = _large()
+    assert fleet_size(state) == 40
+    told = evolve(ready('far'), zone='b1', zone_size=50)
+    record_beat(state, told, _NOW)
+    assert fleet_size(state) == 50
+    record_beat(state, evolve(told, sequence=2, zone_size=45), _NOW)
+    assert fleet_size(state) == 50
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -21,6 +21,7 @@
 ZONES = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
 BOUNDS = EdgeBounds(
     contact=3 * SECOND_NS,
+    apply=3 * SECOND_NS,
     grace=4 * SECOND_NS,
     retry_ratio=0.2,
     retry_slack=100,
