Pass beats of other zones on to the entries of a zone, too

Cause: after a loss of power other daemons than the usual ones take callers. An entry sends beats to the usual ones of another zone, so two that replace others did not hear each other, took different daemons for the owner of an account, and asked for tokens where none were.

Ruled out: lost loans; the buckets of the owners were full.

Change: the first entry by rank, which other zones expect to be one, passes beats on to all daemons of its zone.

--- a/packages/core/src/geraniumshelf_core/presence/queries.py
+++ b/packages/core/src/geraniumshelf_core/presence/queries.py
@@ -81,12 +81,15 @@
 def is_relay(state: PresenceState, own: Beat) -> bool:
     """Return whether this daemon tells its zone of the entries of others.
 
-    The first of the entries does; two for a moment are harmless.
+    The first of the entries does, which those of other zones expect to be one.
+    Without it an entry that replaces others stays unknown to those that
+    replace others elsewhere. Two for a moment are harmless.
     """
     if own.is_standby or not own.is_ready:
         return False
+    own_rank = rank(own.name, own.member)
     return not any(
-        beat.is_ready and beat.name < own.name
+        beat.is_ready and rank(beat.name, beat.member) < own_rank
         for beat in zone_beats(state, own.zone)
     )
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
@@ -158,7 +158,7 @@
         self._relay(beat)
 
     def _relay(self, beat: Beat) -> None:
-        """Tell the standbys of the zone of an entry of another one."""
+        """Tell the daemons of the zone of an entry of another one."""
         own = self._own
         if beat.zone == own.zone or not is_large(self._state):
             return
@@ -166,5 +166,4 @@
             return
         datagram = encode_message(beat)
         for near in zone_beats(self._state, own.zone):
-            if near.is_standby:
-                self._port.send_encoded(near.ip, datagram)
+            self._port.send_encoded(near.ip, datagram)
