Gather shares in each region; ask the owner for each request at once

Cause: with one owner for all regions a token takes 70 ms and more.

Ruled out: different views of the owner (the log shows one), lost loans.

Change: the entries of a region gather at an owner in that region. Owners of different regions fetch tokens from each other before they run out; a token leaves one bucket before it gets into another one and is lost if that is full, so nothing is added. Each request asks at once. Only the owner can say that there are no tokens.

A test changed: a grant that nobody waits for was dropped; it goes into the own bucket now, up to its capacity, and is dropped if it is late. Two tests say so, and the property test moves tokens between buckets.

--- a/packages/core/src/geraniumshelf_core/shares/gathering.py
+++ b/packages/core/src/geraniumshelf_core/shares/gathering.py
@@ -2,22 +2,35 @@
 
 Answers a large fleet with many small accounts: an account sends a few requests
 a second to any of some thirty entries, and a thirtieth of its rate at each of
-them refuses most of its bursts although the account is within its rate. All
-entries lend their shares of an account to one of them, the owner, and ask it
-for tokens. The loans keep the limit; two daemons that both take themselves for
-the owner only divide the loans.
+them refuses most of its bursts although the account is within its rate. The
+entries of a region lend their shares of an account to one of them, the owner,
+and ask it for tokens, which takes a few milliseconds. The loans keep the limit;
+two daemons that both take themselves for the owner only divide the loans.
+
+The owners of the regions fetch tokens from each other before they run out, as
+callers may all be in one region. A token leaves one bucket before it gets into
+another, and gets lost if that one is full.
 """
 
 from collections.abc import Iterable
+from math import ceil
+from typing import Final
 
 from attrs import define, field
 
 from geraniumshelf_core.membership.ranking import best_ranked
+from geraniumshelf_core.shares.bucket import refill
 from geraniumshelf_core.shares.holding import Holding, held_shares, held_until
 from geraniumshelf_core.shares.loans import TERM_NS, lend
 from geraniumshelf_core.shares.quotas import Quotas, apply_loans
 from geraniumshelf_core.units import Nanoseconds
 
+# A region fetches tokens if it has fewer than it gives out in this time,
+# seconds: several ways between regions and back.
+_STOCK_S: Final = 0.6
+# Fewest tokens that a region wants to have; callers send a few at once.
+_LEAST_STOCK: Final = 3
+
 
 @define
 class AccountOwners:
@@ -90,3 +103,32 @@
     own term.
     """
     return min(TERM_NS, held_until(holding, now) - now)
+
+
+def missing_tokens(quotas: Quotas, account: str, now: Nanoseconds) -> int:
+    """Return how many tokens the owner in a region should fetch."""
+    share = quotas.shares.get(account)
+    if share is None:
+        return 0
+    refill(share.bucket, now)
+    bucket = share.bucket
+    wanted = max(_LEAST_STOCK, share.demand * _STOCK_S)
+    return max(0, ceil(min(wanted, bucket.capacity - 1) - bucket.tokens))
+
+
+def deposit(
+    quotas: Quotas, account: str, tokens: int, now: Nanoseconds
+) -> None:
+    """Put tokens of another bucket into the own one; the rest is lost."""
+    share = quotas.shares.get(account)
+    if share is not None and tokens:
+        refill(share.bucket, now)
+        bucket = share.bucket
+        bucket.tokens = min(bucket.capacity, bucket.tokens + tokens)
+
+
+def note_demand(quotas: Quotas, account: str, requests: int) -> None:
+    """Count requests that ask for tokens of the owner."""
+    share = quotas.shares.get(account)
+    if share is not None:
+        share.arrivals += requests
--- a/packages/core/src/geraniumshelf_core/shares/transfers.py
+++ b/packages/core/src/geraniumshelf_core/shares/transfers.py
@@ -29,6 +29,9 @@
 ASK_INTERVAL_NS: Final[Nanoseconds] = _ASK_INTERVAL_MS * MILLISECOND_NS
 # After that, for the longest way between regions and back, nobody is asked.
 _FAR_ANSWER_NS: Final[Nanoseconds] = 100 * MILLISECOND_NS
+# The owner of an account may be in another region and busy.
+_OWNER_ANSWER_MS: Final = 150
+OWNER_ANSWER_NS: Final[Nanoseconds] = _OWNER_ANSWER_MS * MILLISECOND_NS
 # After a wait in vain later requests are refused at once for this time.
 _DRY_MS: Final = 500
 _DRY_NS: Final[Nanoseconds] = _DRY_MS * MILLISECOND_NS
@@ -56,7 +59,10 @@
         asked: Who was asked last and has not answered.
         asked_at: Time of that question.
         dry_until: Time until which waiting is taken to be in vain.
+        owed: Tokens that the owner was asked for and has not answered.
+        owed_since: Time of the last of these questions.
         ask_after: Time before which the owner has no more tokens.
+        is_owner_silent: Whether the owner did not answer the last questions.
     """
 
     count: int = 0
@@ -64,7 +70,10 @@
     asked: Reach = Reach.NOBODY
     asked_at: Nanoseconds = 0
     dry_until: Nanoseconds = 0
+    owed: int = 0
+    owed_since: Nanoseconds = 0
     ask_after: Nanoseconds = 0
+    is_owner_silent: bool = False
 
 
 def longest_wait(target: Nanoseconds) -> Nanoseconds:
@@ -85,30 +94,19 @@
     return now < waiting.dry_until
 
 
-def begin_question(
-    waiting: Waiting, now: Nanoseconds, *, has_owner: bool = False
-) -> Reach:
+def begin_question(waiting: Waiting, now: Nanoseconds) -> Reach:
     """Return whom to ask now, and take note of it.
 
     The own region is asked first; tokens that come for nobody are lost.
-
-    Args:
-        waiting: The requests that wait.
-        now: Current time.
-        has_owner: Whether another daemon gathers the account. Others are
-            asked only if it does not answer.
     """
     age = now - waiting.asked_at
-    first = Reach.OWNER if has_owner else Reach.REGION
     match waiting.asked:
-        case Reach.NOBODY if now >= waiting.ask_after:
-            reach = first
-        case Reach.OWNER if age >= _FAR_ANSWER_NS:
-            reach = Reach.REGION
         case Reach.REGION if age >= ASK_INTERVAL_NS:
             reach = Reach.OTHER_REGIONS
+        case Reach.NOBODY:
+            reach = Reach.REGION
         case Reach.OTHER_REGIONS if age >= _FAR_ANSWER_NS:
-            reach = first
+            reach = Reach.REGION
         case _:
             return Reach.NOBODY
     waiting.asked = reach
@@ -116,6 +114,25 @@
     return reach
 
 
+def ask_owner(waiting: Waiting, now: Nanoseconds) -> int:
+    """Return how many tokens to ask the owner of the account for now.
+
+    Each request asks at once: one that waited for the answer to another would
+    wait twice as long.
+    """
+    if waiting.owed and now - waiting.owed_since >= OWNER_ANSWER_NS:
+        # The question or its answer is lost.
+        waiting.owed = 0
+        waiting.is_owner_silent = True
+    if now < waiting.ask_after:
+        return 0
+    wanted = max(0, waiting.count - waiting.granted - waiting.owed)
+    if wanted:
+        waiting.owed += wanted
+        waiting.owed_since = now
+    return wanted
+
+
 def hand_out(
     quotas: Quotas,
     account: str,
@@ -151,11 +168,20 @@
 
 def accept(
     waiting: Waiting, tokens: int, asked_at: Nanoseconds, now: Nanoseconds
-) -> None:
-    """Take over tokens for the requests that wait; the rest is dropped."""
+) -> int:
+    """Take over tokens for the requests that wait; return how many are left.
+
+    Tokens that come late are lost.
+    """
+    left = 0
     if now - asked_at <= MOST_WAIT_NS:
-        waiting.granted = min(waiting.count, waiting.granted + tokens)
+        taken = min(tokens, max(0, waiting.count - waiting.granted))
+        left = tokens - taken
+        waiting.granted += taken
         waiting.asked = Reach.NOBODY
+        waiting.owed = max(0, waiting.owed - tokens)
+        waiting.is_owner_silent = False
+    return left
 
 
 def defer(
@@ -169,12 +195,19 @@
         longest: Time that a request may still wait.
         now: Current time.
     """
+    waiting.owed = 0
     waiting.ask_after = now + wait
     if wait > longest:
         waiting.dry_until = now + min(wait, _DRY_NS)
 
 
-def end_in_vain(waiting: Waiting, now: Nanoseconds) -> None:
-    """Take note of a request that got no token in time."""
-    waiting.dry_until = now + _DRY_NS
+def end_in_vain(
+    waiting: Waiting, now: Nanoseconds, *, has_owner: bool = False
+) -> None:
+    """Take note of a request that got no token in time.
+
+    Only the owner knows if there are none; its answer may just be late.
+    """
     waiting.asked = Reach.NOBODY
+    if not has_owner:
+        waiting.dry_until = now + _DRY_NS
--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -14,8 +14,10 @@
 from geraniumshelf_core.shares.quotas import Quotas
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
+from geraniumshelf_daemon.edge.granting import TokenExchange
 from geraniumshelf_daemon.edge.interface import SiteStore
 from geraniumshelf_daemon.edge.lending import ShareExchange
+from geraniumshelf_daemon.edge.owners import OwnerView
 from geraniumshelf_daemon.edge.peers import Heartbeats
 from geraniumshelf_daemon.edge.registry import Registry
 from geraniumshelf_daemon.edge.settings import EdgeSettings
@@ -53,17 +55,27 @@
         self.heartbeats = Heartbeats(
             self.presence, _first_beat(settings), self._port, clock, random
         )
+        owners = OwnerView(self.presence, self.own_beat, settings.regions)
         self._shares = ShareExchange(
             self.presence,
+            owners,
+            quotas,
+            self._port,
+            self.own_beat,
+            clock,
+            random,
+        )
+        self._grants = TokenExchange(
+            self.presence,
+            owners,
             quotas,
             self._port,
             self.own_beat,
             clock,
             random,
-            settings.regions,
         )
         self.tokens = AccountTokens(
-            quotas, clock, self._shares.ask_tokens, self._shares.has_owner
+            quotas, clock, self._grants.ask, owners.has_other
         )
         self._port.register(TokenGrant, self.tokens.take_grant)
 
@@ -98,7 +110,12 @@
         registry = Registry(
             store, self.presence, self._settings, self._random, duty
         )
-        return self.heartbeats.run, self._shares.run, registry.run
+        return (
+            self.heartbeats.run,
+            self._shares.run,
+            self._grants.run,
+            registry.run,
+        )
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/daemon/src/geraniumshelf_daemon/edge/tokens.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/tokens.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from geraniumshelf_core.shares.gathering import deposit
 from geraniumshelf_core.shares.messages import TokenGrant
 from geraniumshelf_core.shares.quotas import (
     Quotas,
@@ -17,9 +18,11 @@
 from geraniumshelf_core.shares.transfers import (
     ASK_INTERVAL_NS,
     MOST_WAIT_NS,
+    OWNER_ANSWER_NS,
     Reach,
     Waiting,
     accept,
+    ask_owner,
     begin_question,
     defer,
     end_in_vain,
@@ -114,11 +117,10 @@
 
     def take_grant(self, grant: TokenGrant) -> None:
         """Take over tokens that another daemon handed out."""
-        queue = self._queues.get(grant.account)
-        if queue is None:
-            return
+        queue = self._queues.setdefault(grant.account, _Queue())
         now = self._clock()
-        accept(queue.waiting, grant.granted, grant.asked_at, now)
+        left = accept(queue.waiting, grant.granted, grant.asked_at, now)
+        deposit(self._quotas, grant.account, left, now)
         if grant.wait:
             defer(queue.waiting, grant.wait, MOST_WAIT_NS, now)
         queue.granted.set()
@@ -128,7 +130,8 @@
         queue = self._queues.get(account)
         if queue is None or not self._has_owner(account):
             return wait_for_admission(self._quotas, account)
-        return max(0, queue.waiting.ask_after - self._clock())
+        left = queue.waiting.ask_after - self._clock()
+        return max(left, OWNER_ANSWER_NS)
 
     async def _wait(
         self, account: str, queue: _Queue, until: Nanoseconds
@@ -144,18 +147,29 @@
             if is_hopeless(waiting, now):
                 return False
             if now >= until:
-                end_in_vain(waiting, now)
+                has_owner = self._has_owner(account)
+                end_in_vain(waiting, now, has_owner=has_owner)
                 return False
-            reach = begin_question(
-                waiting, now, has_owner=self._has_owner(account)
-            )
-            if reach is not Reach.NOBODY:
-                self._ask(TokenQuestion(account, waiting.count, reach), now)
-            next_token = wait_for_admission(self._quotas, account)
-            pause = min(
-                until - now, max(next_token, _LEAST_PAUSE_NS), ASK_INTERVAL_NS
-            )
+            pause = min(until - now, self._ask_others(account, waiting, now))
             queue.granted.clear()
             with suppress(TimeoutError):
                 async with asyncio.timeout(ns_to_seconds(pause)):
                     await queue.granted.wait()
+
+    def _ask_others(
+        self, account: str, waiting: Waiting, now: Nanoseconds
+    ) -> Nanoseconds:
+        """Ask for tokens; return the time until the next question."""
+        has_owner = self._has_owner(account)
+        if has_owner:
+            wanted = ask_owner(waiting, now)
+            if wanted:
+                question = TokenQuestion(account, wanted, Reach.OWNER)
+                self._ask(question, now)
+        if has_owner and not waiting.is_owner_silent:
+            return OWNER_ANSWER_NS
+        reach = begin_question(waiting, now)
+        if reach is not Reach.NOBODY:
+            self._ask(TokenQuestion(account, waiting.count, reach), now)
+        next_token = wait_for_admission(self._quotas, account)
+        return min(max(next_token, _LEAST_PAUSE_NS), ASK_INTERVAL_NS)
--- a/tests/core/shares/test_gathering.py
+++ b/tests/core/shares/test_gathering.py
@@ -7,9 +7,12 @@
 
 from geraniumshelf_core.shares.gathering import (
     AccountOwners,
+    deposit,
     find_owner,
     lend_all,
     loan_term,
+    missing_tokens,
+    note_demand,
     owned_accounts,
     set_entries,
 )
@@ -30,11 +33,12 @@
 )
 from geraniumshelf_core.shares.transfers import (
     MOST_WAIT_NS,
-    Reach,
+    OWNER_ANSWER_NS,
     Waiting,
     accept,
-    begin_question,
+    ask_owner,
     defer,
+    end_in_vain,
     hand_out,
     is_hopeless,
 )
@@ -94,7 +98,7 @@
 def test_gathered_shares_do_not_add_to_the_limit(
     load: list[tuple[int, int, frozenset[int], int, bool]],
 ) -> None:
-    """Two owners, lost loans, pauses or restarts must not add tokens."""
+    """Two owners, lost loans, fetched tokens, pauses or restarts add none."""
     now = 0
     fleet = [_quotas(4) for _ in range(4)]
     admitted: list[int] = []
@@ -110,8 +114,9 @@
         )
         if daemon != owner and pause % 2:
             waiting = Waiting(count=9)
-            granted = hand_out(fleet[owner], 'shop', 9, now, is_owner=True)
-            accept(waiting, granted, now, now)
+            granted = hand_out(fleet[owner], 'shop', 12, now, is_owner=True)
+            left = accept(waiting, granted, now, now)
+            deposit(fleet[daemon], 'shop', left, now)
             admitted.extend([now] * waiting.granted)
     assert _most_in_window(admitted) <= _LIMIT
 
@@ -185,20 +190,34 @@
     assert find_owner(first, 'shop') is None
 
 
-def test_owner_is_asked_first_and_others_if_it_is_silent() -> None:
-    """Two random entries hold nothing once the owner has gathered all."""
+def test_each_request_asks_the_owner_at_once() -> None:
+    """One that waits for the answer to another may be refused in vain."""
     waiting = Waiting(count=1)
-    step = 100 * MILLISECOND_NS
-    asked = [
-        begin_question(waiting, number * step, has_owner=True)
-        for number in range(4)
-    ]
-    assert asked == [
-        Reach.OWNER,
-        Reach.REGION,
-        Reach.OTHER_REGIONS,
-        Reach.OWNER,
-    ]
+    step = 10 * MILLISECOND_NS
+    assert ask_owner(waiting, step) == 1
+    assert ask_owner(waiting, 2 * step) == 0
+    waiting.count = 3
+    assert ask_owner(waiting, 3 * step) == 2
+    accept(waiting, 1, step, 4 * step)
+    assert waiting.granted == 1
+    assert ask_owner(waiting, 5 * step) == 0
+
+
+def test_lost_question_is_asked_again_and_others_are_asked() -> None:
+    """The owner may just have died, and its loans have not ended."""
+    waiting = Waiting(count=2)
+    assert ask_owner(waiting, 0) == 2
+    assert ask_owner(waiting, OWNER_ANSWER_NS) == 2
+    assert waiting.is_owner_silent
+    accept(waiting, 2, 0, OWNER_ANSWER_NS)
+    assert not waiting.is_owner_silent
+
+
+def test_late_owner_does_not_refuse_the_requests_that_follow() -> None:
+    """One slow answer refused all requests of half a second."""
+    waiting = Waiting(count=1)
+    end_in_vain(waiting, 0, has_owner=True)
+    assert not is_hopeless(waiting, 1)
 
 
 def test_word_of_the_owner_ends_a_wait_in_vain() -> None:
@@ -206,9 +225,26 @@
     waiting = Waiting(count=1)
     defer(waiting, MOST_WAIT_NS // 2, MOST_WAIT_NS, 0)
     assert not is_hopeless(waiting, 1)
-    early = begin_question(waiting, MOST_WAIT_NS // 4, has_owner=True)
-    assert early is Reach.NOBODY
-    later = begin_question(waiting, MOST_WAIT_NS // 2, has_owner=True)
-    assert later is Reach.OWNER
+    assert ask_owner(waiting, MOST_WAIT_NS // 4) == 0
+    assert ask_owner(waiting, MOST_WAIT_NS // 2) == 1
     defer(waiting, 2 * MOST_WAIT_NS, MOST_WAIT_NS, 0)
     assert is_hopeless(waiting, 1)
+
+
+def test_region_fetches_tokens_before_it_runs_out() -> None:
+    """A question to another region takes longer than a request may wait."""
+    quotas = _quotas(3)
+    now = 10 * SECOND_NS
+    assert missing_tokens(quotas, 'shop', now) == 0
+    for _ in range(200):
+        now += _STEP_NS
+        note_demand(quotas, 'shop', 2)
+        measure_needs(quotas, now)
+    share = quotas.shares['shop']
+    share.bucket.tokens = 1
+    missing = missing_tokens(quotas, 'shop', now)
+    assert missing >= 5
+    deposit(quotas, 'shop', missing, now)
+    assert missing_tokens(quotas, 'shop', now) == 0
+    deposit(quotas, 'shop', 1000, now)
+    assert share.bucket.tokens == share.bucket.capacity
--- a/tests/daemon/edge/test_tokens.py
+++ b/tests/daemon/edge/test_tokens.py
@@ -65,11 +65,20 @@
     asyncio.run(scenario())
 
 
-def test_grant_without_a_waiting_request_is_dropped() -> None:
+def test_grant_without_a_waiting_request_never_overfills_the_bucket() -> None:
+    """Tokens beyond the share of this daemon would break the limit."""
+    quotas = _quotas(0.1)
+    tokens = AccountTokens(quotas, boot_time, lambda _question, _now: None)
+    tokens.take_grant(TokenGrant(boot_time(), 'shop', 5, 0))
+    bucket = quotas.shares['shop'].bucket
+    assert bucket.tokens == bucket.capacity < 2
+
+
+def test_late_grant_without_a_waiting_request_is_dropped() -> None:
     """Its daemon has refilled the bucket that it left by then."""
-    tokens = AccountTokens(
-        _quotas(0.1), boot_time, lambda _question, _now: None
-    )
-    tokens.take_grant(TokenGrant(boot_time(), 'shop', 1, 0))
+    quotas = _quotas(0.1)
+    tokens = AccountTokens(quotas, boot_time, lambda _question, _now: None)
+    late = boot_time() - 2 * MOST_WAIT_NS
+    tokens.take_grant(TokenGrant(late, 'shop', 1, 0))
     granted, _ = asyncio.run(_obtain(tokens))
     assert not granted
