End gathered loans soon; ask an owner without shares again soon

Cause: an owner that is stopped keeps the shares of its accounts until its loans end, 1.5 s, and a rolling restart stops owners one after the other.

Ruled out: different views of the owner.

Change: gathered loans last 0.6 s and are asked for each 0.2 s. An owner is asked again after 0.5 s at the latest, and a bucket whose share is lent promises a token in 1 s.

The tests of both fail on the code before.

--- a/packages/core/src/geraniumshelf_core/shares/gathering.py
+++ b/packages/core/src/geraniumshelf_core/shares/gathering.py
@@ -21,10 +21,14 @@
 from geraniumshelf_core.membership.ranking import best_ranked
 from geraniumshelf_core.shares.bucket import refill
 from geraniumshelf_core.shares.holding import Holding, held_shares, held_until
-from geraniumshelf_core.shares.loans import TERM_NS, lend
+from geraniumshelf_core.shares.loans import lend
 from geraniumshelf_core.shares.quotas import Quotas, apply_loans
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 
+# Owners ask three times in this term. It is short, since the shares that a dead
+# owner has gathered are of use to nobody until it ends.
+_TERM_MS: Final = 600
+_TERM_NS: Final[Nanoseconds] = _TERM_MS * MILLISECOND_NS
 # A region fetches tokens if it has fewer than it gives out in this time,
 # seconds: several ways between regions and back.
 _STOCK_S: Final = 0.6
@@ -102,7 +106,7 @@
     A share that is itself borrowed goes back to its lender at the end of its
     own term.
     """
-    return min(TERM_NS, held_until(holding, now) - now)
+    return min(_TERM_NS, held_until(holding, now) - now)
 
 
 def missing_tokens(quotas: Quotas, account: str, now: Nanoseconds) -> int:
--- a/packages/core/src/geraniumshelf_core/shares/quotas.py
+++ b/packages/core/src/geraniumshelf_core/shares/quotas.py
@@ -31,6 +31,9 @@
 # Part of a limit that is given out; requests that were admitted one after the
 # other may reach their servers closer together.
 _GIVEN_PART: Final = 0.95
+# Time after which shares that are lent have come back, or tokens have come from
+# their borrower.
+_LOAN_RETURN_NS: Final[Nanoseconds] = SECOND_NS
 # Demand is smoothed over about this time.
 _DEMAND_WINDOW_NS: Final[Nanoseconds] = 2 * SECOND_NS
 # A share is wanted that covers this many times the demand, as demand varies.
@@ -132,7 +135,12 @@
 def wait_for_admission(quotas: Quotas, account: str) -> Nanoseconds:
     """Return the time until an account that was refused has a token."""
     share = quotas.shares.get(account)
-    return 0 if share is None else time_to_token(share.bucket)
+    if share is None:
+        return 0
+    if share.bucket.rate <= 0:
+        # All is lent; the loans end by then.
+        return _LOAN_RETURN_NS
+    return time_to_token(share.bucket)
 
 
 def describe_share(quotas: Quotas, account: str, now: Nanoseconds) -> str:
--- a/packages/core/src/geraniumshelf_core/shares/transfers.py
+++ b/packages/core/src/geraniumshelf_core/shares/transfers.py
@@ -196,7 +196,8 @@
         now: Current time.
     """
     waiting.owed = 0
-    waiting.ask_after = now + wait
+    # The owner may get tokens from elsewhere, or be replaced, before that.
+    waiting.ask_after = now + min(wait, _DRY_NS)
     if wait > longest:
         waiting.dry_until = now + min(wait, _DRY_NS)
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/lending.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/lending.py
@@ -31,14 +31,19 @@
     lend_share,
     measure_needs,
 )
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.messages import encode_message
 from geraniumshelf_daemon.edge.owners import OwnerView
 
 # Time between two rounds of questions; a term covers two of them.
-_ROUND_S: Final = 0.4
+_ROUND_S: Final = 0.5
+# The same where shares are gathered, for shorter terms.
+_GATHERING_ROUND_S: Final = 0.2
 _SPREAD: Final = 0.2
+# Whole shares have a term of 1 s and stay with the same entry.
+_STANDBY_ROUND_MS: Final = 350
+_STANDBY_ROUND_NS: Final[Nanoseconds] = _STANDBY_ROUND_MS * MILLISECOND_NS
 # Accounts in one datagram, which must not be cut on the way.
 _MOST_ACCOUNTS: Final = 60
 
@@ -80,13 +85,20 @@
 
     async def run(self) -> None:
         """Ask for shares until the task is cancelled."""
+        standbys_asked_at = 0
         while True:
+            now = self._clock()
             self._owners.update()
             if not self._own_beat().is_standby:
-                self._ask_accounts(self._clock())
-                self._ask_standbys(self._clock())
+                self._ask_accounts(now)
+                if now - standbys_asked_at >= _STANDBY_ROUND_NS:
+                    standbys_asked_at = now
+                    self._ask_standbys(now)
+            pause = _ROUND_S
+            if self._owners.is_gathering:
+                pause = _GATHERING_ROUND_S
             spread = 1 + _SPREAD * (self._random.random() - 0.5)
-            await asyncio.sleep(_ROUND_S * spread)
+            await asyncio.sleep(pause * spread)
 
     def _ask_accounts(self, now: Nanoseconds) -> None:
         is_gathering = self._owners.is_gathering
--- a/tests/core/shares/test_gathering.py
+++ b/tests/core/shares/test_gathering.py
@@ -30,6 +30,7 @@
     borrow_share,
     divide_quotas,
     measure_needs,
+    wait_for_admission,
 )
 from geraniumshelf_core.shares.transfers import (
     MOST_WAIT_NS,
@@ -231,6 +232,18 @@
     assert is_hopeless(waiting, 1)
 
 
+def test_owner_without_shares_is_asked_again_soon() -> None:
+    """An owner whose share was lent said 60 s, and was not asked before."""
+    quotas = _quotas(4)
+    now = 10 * SECOND_NS
+    lend_all(quotas, 'shop', 'owner', loan_term(quotas.holding, now), now)
+    wait = wait_for_admission(quotas, 'shop')
+    assert wait <= SECOND_NS
+    waiting = Waiting(count=1)
+    defer(waiting, 60 * SECOND_NS, MOST_WAIT_NS, now)
+    assert ask_owner(waiting, now + SECOND_NS) == 1
+
+
 def test_region_fetches_tokens_before_it_runs_out() -> None:
     """A question to another region takes longer than a request may wait."""
     quotas = _quotas(3)
@@ -248,3 +261,14 @@
     assert missing_tokens(quotas, 'shop', now) == 0
     deposit(quotas, 'shop', 1000, now)
     assert share.bucket.tokens == share.bucket.capacity
+
+
+def test_shares_of_a_dead_owner_come_back_soon() -> None:
+    """Accounts of an owner that is stopped had no tokens for seconds."""
+    quotas = _quotas(4)
+    now = 10 * SECOND_NS
+    lend_all(quotas, 'shop', 'owner', loan_term(quotas.holding, now), now)
+    assert not admit(quotas, 'shop', now)
+    back = now + 700 * MILLISECOND_NS
+    admit(quotas, 'shop', back)
+    assert quotas.shares['shop'].bucket.rate > 0
