Relay a beat once; name the freshness of a configuration plainly

Two daemons of a zone that both took themselves for the relay passed each beat to each other without end: a beat that is known already is not passed on any more. The new test in tests/daemon/edge/test_peers.py fails on the code before.

--- a/packages/core/src/geraniumshelf_core/presence/freshness.py
+++ b/packages/core/src/geraniumshelf_core/presence/freshness.py
@@ -1,4 +1,4 @@
-"""How closely a daemon follows the store, and whose word of it is fresh.
+"""How closely a daemon follows the store, and who has a fresh configuration.
 
 Answers a fleet whose calls to the store grow with its entries. A watch brings a
 change at once; it is only renewed early because it may have been silenced on
@@ -78,7 +78,7 @@
     """Return whether this daemon renews its watches early.
 
     Every entry of a small fleet does. In a large one it is the first entry of
-    the zone whose word is fresh; two for a moment are harmless.
+    the zone whose configuration is fresh; two for a moment are harmless.
     """
     if not is_large(state):
         return True
@@ -124,7 +124,7 @@
         state: What is known of the other daemons.
         passing: To whom connections were passed.
         own: The newest beat of this daemon.
-        fresh: Age up to which a word of the store is fresh.
+        fresh: Age up to which a confirmed configuration is fresh.
         now: Current time.
     """
     entries = {
@@ -136,16 +136,16 @@
         later = (
             name
             for name, neighbour in entries.items()
-            if now - word_age(neighbour, now) > passing.used_at
+            if now - configuration_age(neighbour, now) > passing.used_at
         )
         passing.target = best_ranked(own.name, later) or ''
         current = entries.get(passing.target)
     return current.beat if current else None
 
 
-def word_age(neighbour: Neighbour, now: Nanoseconds) -> Nanoseconds:
+def configuration_age(neighbour: Neighbour, now: Nanoseconds) -> Nanoseconds:
     """Return the age of what a daemon last heard of the store."""
-    return neighbour.beat.word_age + now - neighbour.heard_at
+    return neighbour.beat.configuration_age + now - neighbour.heard_at
 
 
 def _fresh_entries(
@@ -154,5 +154,5 @@
     for neighbour in state.neighbours.values():
         beat = neighbour.beat
         is_entry = beat.zone == zone and beat.is_ready
-        if is_entry and word_age(neighbour, now) <= fresh:
+        if is_entry and configuration_age(neighbour, now) <= fresh:
             yield neighbour
--- a/packages/core/src/geraniumshelf_core/presence/state.py
+++ b/packages/core/src/geraniumshelf_core/presence/state.py
@@ -6,7 +6,7 @@
 
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
 
-# Age of the word of the store of a daemon that has none.
+# Age of a configuration that was never confirmed.
 _LONG_AGO_S: Final = 3600
 LONG_AGO_NS: Final[Nanoseconds] = _LONG_AGO_S * SECOND_NS
 
@@ -39,8 +39,8 @@
         is_standby: Whether it takes none because others do, and would.
         cores: Processor that its platform gives it, in cores.
         rate: Requests a second that callers send to it, smoothed.
-        word_age: Time since the store last told it that it has the newest
-            configuration.
+        configuration_age: Time since the store last confirmed that its
+            configuration is the newest.
         changes: Revision of the last change of each kind that it follows.
         zone_size: Daemons of its zone that may be alive, as it knows.
         next_in: Time until its next beat to the same instance.
@@ -57,7 +57,7 @@
     is_standby: bool = False
     cores: float = 1
     rate: float = 0
-    word_age: Nanoseconds = LONG_AGO_NS
+    configuration_age: Nanoseconds = LONG_AGO_NS
     changes: tuple[int, ...] = ()
     zone_size: int = 0
     next_in: Nanoseconds = 0
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -36,7 +36,7 @@
     apply_bounds,
     build_state,
 )
-from geraniumshelf_daemon.edge.words import StoreWords
+from geraniumshelf_daemon.edge.watch_policy import WatchPolicy
 from geraniumshelf_daemon.front.server import FrontServer
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.observability.exposition import Exposition
@@ -84,7 +84,7 @@
         self._presence = self._fleet.presence
         self._duty = Duty(clock())
         self._rate = RequestRate(measured_at=clock())
-        self._words = StoreWords(
+        self._policy = WatchPolicy(
             self._presence,
             self._fleet.own_beat,
             lambda: self._settings.bounds,
@@ -95,7 +95,7 @@
             clock,
             self._random,
             self._divide,
-            self._words.rules,
+            self._policy.rules,
         )
         self._standby = Standby(
             self._duty,
@@ -225,9 +225,9 @@
             self._spills.adjust(now)
             self._passer.close_quiet(now, is_stopping=False)
             measure_rate(self._rate, self._state.asked, now)
-            self._following.renew_missed(self._words.has_missed, now)
+            self._following.renew_missed(self._policy.has_missed, now)
             self._fleet.heartbeats.confirm(
-                self._following.word_at, self._following.changes
+                self._following.confirmed_at, self._following.changes
             )
             self._fleet.heartbeats.announce(
                 is_ready=self._is_ready(),
--- a/packages/daemon/src/geraniumshelf_daemon/edge/following.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/following.py
@@ -63,9 +63,9 @@
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
-    def word_at(self) -> Nanoseconds | None:
+    def confirmed_at(self) -> Nanoseconds | None:
         """Return when the store last confirmed the configuration."""
-        return self._watchers[0].word_at if self._watchers else None
+        return self._watchers[0].confirmed_at if self._watchers else None
 
     @property
     def is_lost(self) -> bool:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/passing.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/passing.py
@@ -7,8 +7,8 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from geraniumshelf_core.presence.freshness import Passing, choose_target
 from geraniumshelf_core.presence.state import Beat, PresenceState
-from geraniumshelf_core.presence.words import Passing, choose_target
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.settings import EdgeBounds
 from geraniumshelf_daemon.edge.state import RelayState
--- a/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
@@ -54,7 +54,7 @@
         self._port = port
         self._clock = clock
         self._random = random
-        self._word_at: Nanoseconds | None = None
+        self._confirmed_at: Nanoseconds | None = None
         # Time of the next beat by IP address.
         self._due: dict[str, Nanoseconds] = {}
         port.register(Beat, self._take_beat)
@@ -75,15 +75,15 @@
             await asyncio.sleep(_ROUND_S * spread)
 
     def confirm(
-        self, word_at: Nanoseconds | None, changes: tuple[int, ...]
+        self, confirmed_at: Nanoseconds | None, changes: tuple[int, ...]
     ) -> None:
         """Take over what the next beats tell of the store.
 
         Args:
-            word_at: Time at which it last confirmed the configuration.
+            confirmed_at: Time at which it last confirmed the configuration.
             changes: Revision of the last change of each kind.
         """
-        self._word_at = word_at
+        self._confirmed_at = confirmed_at
         self._own = evolve(self._own, changes=changes)
 
     def announce(
@@ -128,8 +128,10 @@
             sequence=self._own.sequence + 1,
             known=known,
             zone_size=zone_size(self._state, self._own.zone),
-            word_age=(
-                LONG_AGO_NS if self._word_at is None else now - self._word_at
+            configuration_age=(
+                LONG_AGO_NS
+                if self._confirmed_at is None
+                else now - self._confirmed_at
             ),
         )
         datagrams: dict[Nanoseconds, bytes] = {}
@@ -155,10 +157,15 @@
             if interval is not None:
                 answer = evolve(self._own, next_in=interval)
                 self._port.send(beat.ip, answer)
-        self._relay(beat)
+        if self._state.neighbours[beat.name].beat is beat:
+            self._relay(beat)
 
     def _relay(self, beat: Beat) -> None:
-        """Tell the daemons of the zone of an entry of another one."""
+        """Tell the daemons of the zone of an entry of another one.
+
+        Only a beat that was not known before is passed on, as two daemons may
+        take themselves for the relay.
+        """
         own = self._own
         if beat.zone == own.zone or not is_large(self._state):
             return
--- a/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
@@ -18,8 +18,8 @@
 
     Attributes:
         contact: Time after a fault within which an instance is back in touch.
-        apply: Time from the store's word of a configuration until it is in
-            force.
+        apply: Time from the store's acknowledgement of a configuration until
+            it is in force.
         grace: Time from SIGTERM to SIGKILL.
         retry_ratio: Repeats allowed for each request to a service.
         retry_slack: Repeats allowed beyond, in a window.
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
@@ -2,19 +2,19 @@
 
 from collections.abc import Callable
 
-from geraniumshelf_core.presence.state import Beat, PresenceState
-from geraniumshelf_core.presence.words import (
+from geraniumshelf_core.presence.freshness import (
     gather_time,
     is_lead,
     missed_changes,
     watch_wait,
 )
+from geraniumshelf_core.presence.state import Beat, PresenceState
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.settings import EdgeBounds
 from geraniumshelf_daemon.edge.watching import WatchRules
 
 
-class StoreWords:
+class WatchPolicy:
     """Decides about watches with what this daemon knows now.
 
     Args:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
@@ -80,16 +80,16 @@
         self._random = random
         self._revision: int | None = None
         self._changed_at = 0
-        self._word_at: Nanoseconds | None = None
+        self._confirmed_at: Nanoseconds | None = None
         self._asked_at: Nanoseconds = 0
         self._call: asyncio.Future[SiteView] | None = None
         self._is_renewed = False
         self._is_lost = False
 
     @property
-    def word_at(self) -> Nanoseconds | None:
+    def confirmed_at(self) -> Nanoseconds | None:
         """Return when the store last told that all changes are known."""
-        return self._word_at
+        return self._confirmed_at
 
     @property
     def is_lost(self) -> bool:
@@ -125,7 +125,7 @@
             asked_at = self._clock()
             view = await self._store.list_records(self._kind)
             self._sink.replace(view, self._clock(), after_outage=self._is_lost)
-            self._take_word(view, asked_at)
+            self._note_confirmed(view, asked_at)
             return
         found = await self._watch(self._revision)
         if found is None:
@@ -134,13 +134,13 @@
         if found.records:
             self._changed_at = max(self._changed_at, found.changed_at)
             self._sink.change(found, now, after_outage=self._is_lost)
-        self._take_word(found, now)
+        self._note_confirmed(found, now)
         if found.records:
             await asyncio.sleep(ns_to_seconds(self._rules.gather()))
 
-    def _take_word(self, view: SiteView, at: Nanoseconds) -> None:
+    def _note_confirmed(self, view: SiteView, at: Nanoseconds) -> None:
         self._revision = view.revision
-        self._word_at = at
+        self._confirmed_at = at
         if self._is_lost:
             self._is_lost = False
             log_event(Event.PLATFORM_FOUND, self._kind.value)
--- a/tests/core/presence/test_freshness.py
+++ b/tests/core/presence/test_freshness.py
@@ -1,4 +1,4 @@
-"""Guards how closely daemons follow the store, and whose word is fresh."""
+"""Guards how closely daemons follow the store, and who is up to date."""
 
 from attrs import evolve
 from tests.core.presence.test_duty import beat, ready, standby
@@ -7,6 +7,13 @@
     record_beat,
     register_instance,
 )
+from geraniumshelf_core.presence.freshness import (
+    Passing,
+    choose_target,
+    is_lead,
+    missed_changes,
+    watch_wait,
+)
 from geraniumshelf_core.presence.queries import (
     FAR_INTERVAL_NS,
     beat_interval,
@@ -14,13 +21,6 @@
     is_relay,
 )
 from geraniumshelf_core.presence.state import Beat, Member, PresenceState
-from geraniumshelf_core.presence.words import (
-    Passing,
-    choose_target,
-    is_lead,
-    missed_changes,
-    watch_wait,
-)
 from geraniumshelf_core.units import SECOND_NS
 
 _CONTACT = 4 * SECOND_NS
@@ -40,7 +40,7 @@
 
 
 def _confirmed(name: str, age_s: float = 1) -> Beat:
-    return evolve(ready(name), word_age=round(age_s * SECOND_NS))
+    return evolve(ready(name), configuration_age=round(age_s * SECOND_NS))
 
 
 def test_one_entry_of_a_zone_renews_its_watches_early() -> None:
--- a/tests/daemon/edge/test_messages.py
+++ b/tests/daemon/edge/test_messages.py
@@ -37,7 +37,7 @@
             is_ready=True,
             cores=0.43,
             rate=12.5,
-            word_age=9,
+            configuration_age=9,
             changes=(4, 5, 6),
             zone_size=3,
             next_in=5,
--- a/tests/daemon/edge/test_peers.py
+++ b/tests/daemon/edge/test_peers.py
@@ -18,6 +18,7 @@
 _IN_ZONE = 8
 _USUAL = 3
 _LARGE, _SMALL = 2.15, 0.43
+_MOST_DELIVERIES = 100_000
 
 
 class _Network:
@@ -36,10 +37,13 @@
 
     def deliver(self) -> None:
         """Deliver all datagrams, also those that are sent meanwhile."""
-        while self._waiting:
+        for _ in range(_MOST_DELIVERIES):
+            if not self._waiting:
+                return
             ip, datagram = self._waiting.popleft()
             if ip in self.ports:
                 self.ports[ip]._take(datagram)
+        raise AssertionError('datagrams cause each other without end')
 
 
 class _Port(DatagramPort):
@@ -190,3 +194,13 @@
     old = evolve(newest, sequence=newest.sequence - 1, is_ready=False)
     fleet.daemons['a1-0']._take_beat(old)
     assert state.neighbours['b1-0'].beat == newest
+
+
+def test_two_relays_do_not_pass_beats_to_each_other_without_end() -> None:
+    """Each of two entries may not have heard yet that the other is ready."""
+    fleet = _Fleet((0, 1))
+    fleet.run(6)
+    near = fleet.states['a1-1'].neighbours
+    near['a1-0'].beat = evolve(near['a1-0'].beat, is_ready=False)
+    fleet.daemons['b1-0'].send(fleet.network.now + 10 * SECOND_NS)
+    fleet.network.deliver()
--- a/tests/daemon/edge/test_placing.py
+++ b/tests/daemon/edge/test_placing.py
@@ -108,7 +108,7 @@
 def test_server_that_left_meanwhile_gets_no_request(
     change: Callable[[_Scene], None],
 ) -> None:
-    """The store's word may arrive while the connection opens."""
+    """The store's answer may arrive while the connection opens."""
     scene = _Scene()
     change(scene)
     with pytest.raises(AttemptFailed) as caught:
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -106,7 +106,7 @@
                 cores=cores,
                 peer_port=peer_port,
                 seeds=('127.0.0.11',),
-                # The word of an entry is fresh between two of its calls.
+                # A configuration stays fresh between two calls of an entry.
                 bounds=evolve(BOUNDS, apply=5 * SECOND_NS),
             )
             for number, (name, cores) in enumerate(_CORES.items(), start=11)
