Count the age of a permission from the choice of the server

Cause: a token was taken anew if a request was sent more than 1 s after it got one. Servers that accept no connection take 0.3 s each, so a request that tried several was refused with 429 although it had a token, surely so where the shares are gathered elsewhere. Found while reading the change again.

Ruled out: the refusals of the logs at hand; none of 1,281 had chosen a server.

Change: the age counts from the choice, which a suspended daemon makes too old as well.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/placing.py
@@ -42,8 +42,9 @@
 # An answer from another server takes up to this many times the expected time.
 _REPEAT_RATIO: Final = 1.5
 _LEAST_WAIT_S: Final = 0.05
-# A token that is used later than this was held by a pause of the daemon; its
-# bucket has filled again meanwhile.
+# A daemon that sends later than this after its choice was suspended, and the
+# bucket of the token has filled again meanwhile. A connection opens, or fails,
+# in less time.
 _TOKEN_LIFE_NS: Final[Nanoseconds] = SECOND_NS
 # A cold server counts a request in the second in which it arrives; a
 # connection opens in less time than this.
@@ -160,9 +161,8 @@
             ):
                 raise _withdrawn(choice, 'is cold')
             count_cold_send(choice.view, now)
-        if progress.attempts or now - progress.admitted_at <= _TOKEN_LIFE_NS:
+        if progress.attempts or now - chosen_at <= _TOKEN_LIFE_NS:
             return
-        progress.admitted_at = now
         if not take_token(self._state.quotas, order.account_name, now):
             wait = wait_for_admission(self._state.quotas, order.account_name)
             raise self.refuse_over_quota(order, progress, wait)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -133,7 +133,6 @@
             order = self._check(caller, fields, now)
             progress.order = order
         now = self._clock()
-        progress.admitted_at = now
         earn(self._state.retries, order.service, now)
         upload = Upload(caller.body, self._pacer, has_body=caller.has_body)
         left = max(0, order.deadline - now)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -98,7 +98,6 @@
         may_have_run: Whether an attempt ended without saying that it did not
             run.
         attempts: Servers that it was sent to.
-        admitted_at: Time at which it got the token of its account.
         server: The last server that was chosen.
         inputs: What decided a rejection; for the log, not for the caller.
     """
@@ -107,6 +106,5 @@
     ran: Ran = Ran.NOT_RUN
     may_have_run: bool = False
     attempts: int = 0
-    admitted_at: Nanoseconds = 0
     server: str = ''
     inputs: str = ''
