--- a/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
@@ -19,8 +19,9 @@
 from geraniumshelf_daemon.edge.order import Order
 from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.front.framing import BODY_METHODS
-from geraniumshelf_daemon.upstream.exchange import Exchange, Owner
+from geraniumshelf_daemon.upstream.exchange import Exchange
 from geraniumshelf_daemon.upstream.links import Passage
+from geraniumshelf_daemon.upstream.ownership import Owner
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 from geraniumshelf_daemon.upstream.progress import AttemptFailed, Progress
 from geraniumshelf_daemon.upstream.upload import Upload
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -27,6 +27,7 @@
 from geraniumshelf_daemon.edge.interface import HeaderCodec, SiteStore
 from geraniumshelf_daemon.edge.limits import divide_limits, fleet_sizes
 from geraniumshelf_daemon.edge.listeners import Listeners
+from geraniumshelf_daemon.edge.loading import LoadingGate
 from geraniumshelf_daemon.edge.passing import ConnectionPasser
 from geraniumshelf_daemon.edge.relay import Relay
 from geraniumshelf_daemon.edge.settings import EdgeSettings
@@ -111,7 +112,7 @@
             self._fleet.tokens,
             clock,
             self._random,
-            self._will_load,
+            LoadingGate(self._state, self._will_load, clock),
         )
         directory = Directory(
             self._presence,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -14,9 +14,7 @@
     record_report,
 )
 from geraniumshelf_core.placement.state import Choice
-from geraniumshelf_core.shares.retries import (
-    earn,
-)
+from geraniumshelf_core.shares.retries import earn
 from geraniumshelf_core.site.model import Repeatability
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
@@ -32,7 +30,13 @@
 from geraniumshelf_daemon.edge.budget import log_request
 from geraniumshelf_daemon.edge.delivery import deliver
 from geraniumshelf_daemon.edge.interface import CallerFields
+from geraniumshelf_daemon.edge.loading import LoadingGate
 from geraniumshelf_daemon.edge.order import Order, check_request
+from geraniumshelf_daemon.edge.outcomes import (
+    internal_fault,
+    outcome_of,
+    time_to_return,
+)
 from geraniumshelf_daemon.edge.placing import Placer
 from geraniumshelf_daemon.edge.state import RelayState, RequestProgress
 from geraniumshelf_daemon.edge.tokens import AccountTokens
@@ -45,13 +49,6 @@
 from geraniumshelf_daemon.upstream.upload import Upload
 
 _FIRST_SERVER_ERROR: Final = 500
-# A request that a server did not run may come back after this time; a few
-# requests have ended by then.
-_LEAST_RETURN_S: Final = 0.2
-# A daemon that starts lists all it needs in some 0.2 s if the store answers.
-_LOADING_MS: Final = 400
-_LOADING_NS: Final[Nanoseconds] = _LOADING_MS * MILLISECOND_NS
-_LOADING_POLL_S: Final = 0.02
 # A body may go on for this time after the deadline, as callers may read
 # slowly; a server that sends without end is cut off then.
 _DELIVERY_S: Final = 30
@@ -59,7 +56,16 @@
 
 
 class Relay:
-    """Takes requests from arrival to answer."""
+    """Takes requests from arrival to answer.
+
+    Args:
+        state: What the decisions about requests work on.
+        tools: What all attempts share.
+        tokens: Gives out the tokens of accounts.
+        clock: Returns the current time, nanoseconds.
+        random: Spreads the returns of refused requests.
+        gate: Holds requests until the daemon has loaded.
+    """
 
     def __init__(
         self,
@@ -68,20 +74,9 @@
         tokens: AccountTokens,
         clock: Callable[[], Nanoseconds],
         random: Random,
-        will_load: Callable[[], bool],
+        gate: LoadingGate,
     ) -> None:
-        """Prepare to serve.
-
-        Args:
-            state: What the decisions about requests work on.
-            tools: What all attempts share.
-            tokens: Gives out the tokens of accounts.
-            clock: Returns the current time, nanoseconds.
-            random: Spreads the returns of refused requests.
-            will_load: Returns whether this daemon is about to know what it
-                needs to serve.
-        """
-        self._will_load = will_load
+        self._gate = gate
         self._state = state
         self._tools = tools
         self._clock = clock
@@ -107,14 +102,14 @@
         except Exception as error:
             lines = ''.join(format_tb(error.__traceback__))
             log_event(Event.TASK_FAILED, f'{type(error).__name__}\n{lines}')
-            await self._refuse(caller, progress, _internal_fault())
+            await self._refuse(caller, progress, internal_fault())
         finally:
             self._state.running -= 1
             time_metric(Metric.REQUEST_TIME, self._clock() - started)
 
     async def _serve(self, caller: Caller, progress: RequestProgress) -> None:
         now = self._clock()
-        await self._wait_loaded(now)
+        await self._gate.wait(now)
         fields = self._tools.codec.read_request(caller.headers)
         order = self._check(caller, fields, now)
         progress.order = order
@@ -157,18 +152,6 @@
             attempt.close()
         self._log_served(order, progress, answer)
 
-    async def _wait_loaded(self, arrived: Nanoseconds) -> None:
-        """Wait a moment while the daemon loads.
-
-        After a loss of power callers come back before it has loaded; most of
-        them come only once more.
-        """
-        until = arrived + _LOADING_NS
-        while not self._state.is_loaded and self._will_load():
-            if self._clock() >= until:
-                return
-            await asyncio.sleep(_LOADING_POLL_S)
-
     def _check(
         self, caller: Caller, fields: CallerFields, now: Nanoseconds
     ) -> Order:
@@ -210,7 +193,7 @@
                 caller, order, choice, attempt, progress
             )
         except AttemptFailed as failure:
-            outcome = _outcome(failure)
+            outcome = outcome_of(failure)
             raise
         finally:
             if answer is None:
@@ -268,7 +251,7 @@
             failure.code,
             failure.detail,
             ran=progress.ran,
-            retry_after_s=_retry_after(progress.ran, self._random),
+            retry_after_s=time_to_return(progress.ran, self._random),
         )
 
     async def _refuse(
@@ -316,29 +299,3 @@
             attempts=progress.attempts,
             age_ms=(now - order.arrived) // MILLISECOND_NS,
         )
-
-
-def _outcome(failure: AttemptFailed) -> Outcome:
-    match failure.code:
-        case ResultCode.BACKEND_REFUSED if failure.is_failure:
-            return Outcome(is_failure=True, is_unreachable=True)
-        case ResultCode.BACKEND_REFUSED:
-            return Outcome(is_shed=True)
-        case ResultCode.NO_BACKEND_SERVER:
-            return Outcome()
-        case _:
-            return Outcome(is_failure=True)
-
-
-def _retry_after(ran: Ran, random: Random) -> float | None:
-    if ran is not Ran.NOT_RUN:
-        return None
-    return round(_LEAST_RETURN_S + random.random() / 2, 3)
-
-
-def _internal_fault() -> RequestRefused:
-    return RequestRefused(
-        ResultCode.INTERNAL_FAULT,
-        'the daemon failed while serving the request',
-        ran=Ran.UNKNOWN,
-    )
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/exchange.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from enum import Enum, unique
 from sys import maxsize
 from typing import Final
 
@@ -19,6 +18,7 @@
 from tornado.iostream import IOStream
 
 from geraniumshelf_daemon.upstream.channel import ByteChannel
+from geraniumshelf_daemon.upstream.ownership import Owner
 
 _LARGEST_BODY: Final = maxsize
 _CHUNK: Final = 65536
@@ -35,15 +35,6 @@
 Head = tuple[int, str, HTTPHeaders]
 
 
-@unique
-class Owner(Enum):
-    """Whose request an answer belongs to."""
-
-    OWN = 'own'
-    OTHER = 'other'
-    UNKNOWN = 'unknown'
-
-
 class Exchange:
     """Sends one request over a connection and reads the answer.
 
--- /dev/null
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/ownership.py
@@ -0,0 +1,12 @@
+"""Whose request an answer of a backend server belongs to."""
+
+from enum import Enum, unique
+
+
+@unique
+class Owner(Enum):
+    """Whose request an answer belongs to."""
+
+    OWN = 'own'
+    OTHER = 'other'
+    UNKNOWN = 'unknown'
