--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -150,7 +150,7 @@
                 await deliver(caller, attempt, answer)
         finally:
             attempt.close()
-        self._log_served(order, progress, answer)
+        self._log(Event.REQUEST_SERVED, str(answer.status), order, progress)
 
     def _check(
         self, caller: Caller, fields: CallerFields, now: Nanoseconds
@@ -278,11 +278,6 @@
         except OSError:
             caller.reply.abort()
 
-    def _log_served(
-        self, order: Order, progress: RequestProgress, answer: Answer
-    ) -> None:
-        self._log(Event.REQUEST_SERVED, str(answer.status), order, progress)
-
     def _log(
         self, event: Event, detail: str, order: Order, progress: RequestProgress
     ) -> None:
