Draw the ports of a test daemon together

test_server_that_left_or_drains_is_not_used_again failed once with an OSError where a daemon listens, and passed in the next run. Five ports were drawn and freed one after the other; 7 of 20,000 such draws had the same port twice. That this was the cause of the one failure is suspected, not shown.

--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -15,7 +15,7 @@
     HOST,
     CallerStandin,
     connect_to,
-    free_port,
+    free_ports,
     make_configuration,
     make_path,
     make_settings,
@@ -94,7 +94,7 @@
     store.put(
         'config', 'main', make_configuration(tenants=[_ACCOUNT], hosts=hosts)
     )
-    peer_port = free_port()
+    [peer_port] = free_ports(1)
     fleet = Fleet(
         store,
         server,
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from random import Random
+from socket import socket
 from typing import Any
 
 from attrs import define, evolve, field
@@ -258,7 +259,7 @@
 def make_settings(store_address: str, **fields: Any) -> EdgeSettings:
     """Return the settings of a daemon; fields replace the usual ones."""
     ip = fields.pop('ip', '127.0.0.1')
-    ports = [free_port() for _ in range(5)]
+    ports = free_ports(5)
     return evolve(
         EdgeSettings(
             name='n1',
@@ -279,10 +280,14 @@
     )
 
 
-def free_port() -> int:
-    """Return a port that nothing listens at."""
-    import socket
+def free_ports(count: int) -> list[int]:
+    """Return different ports that nothing listens at.
 
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    All are held until the last one is drawn; the system may otherwise give out
+    the same one twice.
+    """
+    with ExitStack() as held:
+        probes = [held.enter_context(socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(('127.0.0.1', 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
