Reproduce requests to servers that left while an instance was cut off

Daemons in virtual time, some of which do not reach the store for a while (tests/daemon/edge/cut_world.py). 3 s after a cut, when an instance counts as in touch, a daemon still uses a server that left during the cut, also when other daemons know better, and one that hears of no other lacks changes of all kinds.

--- /dev/null
+++ b/tests/daemon/edge/test_cuts.py
@@ -0,0 +1,83 @@
+"""Guards what a daemon knows after it did not reach the store for a while."""
+
+import pytest
+from tests.daemon.edge.cut_world import (
+    CONTACT_S,
+    CutFleet,
+    make_server,
+    read_configuration,
+    run_fleet,
+    sleep_until,
+)
+
+from geraniumshelf_daemon.edge.interface import EvacuatedZone, SiteKind
+
+_CUT_S = 5.0
+_SEEDS = range(20)
+
+
+@pytest.mark.parametrize('length_s', [3.0, 12.0])
+def test_server_that_left_during_a_cut_is_not_used_after_it(
+    length_s: float,
+) -> None:
+    """A daemon sent requests to a server that had left 5 s before.
+
+    Only this daemon had been cut off, and the others knew that the store had
+    been there all the time.
+    """
+    end_s = _CUT_S + length_s
+
+    async def scenario(fleet: CutFleet) -> None:
+        await sleep_until(_CUT_S + 1)
+        fleet.store.put(SiteKind.SERVERS, 's1', None)
+        await sleep_until(end_s + CONTACT_S)
+        for name, daemon in fleet.daemons.items():
+            assert daemon.servers == {'s2'}, name
+
+    cuts = {'n1': ((_CUT_S, end_s),), 'n2': (), 'n3': ()}
+    for seed in _SEEDS:
+        run_fleet(cuts, seed, scenario)
+
+
+@pytest.mark.parametrize('length_s', [2.0, 6.0, 12.0])
+def test_changes_are_known_soon_after_a_cut_without_other_daemons(
+    length_s: float,
+) -> None:
+    """A daemon that hears of no other learnt of changes 3.3 s after a cut."""
+    end_s = _CUT_S + length_s
+
+    async def scenario(fleet: CutFleet) -> None:
+        await sleep_until(_CUT_S + 0.5)
+        fleet.store.put(SiteKind.SERVERS, 's1', None)
+        fleet.store.put(SiteKind.CONFIGURATION, 'main', read_configuration(2))
+        fleet.store.put(SiteKind.EVACUATIONS, 'a1', EvacuatedZone('a1'))
+        await sleep_until(end_s + CONTACT_S)
+        state = fleet.daemons['n1'].state
+        assert state.version == 2
+        assert state.placement.evacuated == {'a1'}
+        assert set(state.placement.servers) == {'s2'}
+
+    for seed in _SEEDS:
+        run_fleet({'n1': ((_CUT_S, end_s),)}, seed, scenario)
+
+
+def test_servers_stay_in_use_while_lapsed_entries_come_back() -> None:
+    """After an outage of the store for all there would be no server to use."""
+    end_s = _CUT_S + 6.0
+    cut = ((_CUT_S, end_s),)
+
+    async def scenario(fleet: CutFleet) -> None:
+        await sleep_until(end_s - 0.1)
+        for name in ('s1', 's2'):
+            fleet.store.put(SiteKind.SERVERS, name, None)
+        for step in range(1, 17):
+            await sleep_until(end_s + step / 10)
+            for name, daemon in fleet.daemons.items():
+                assert daemon.servers == {'s1', 's2'}, (step, name)
+        fleet.store.put(SiteKind.SERVERS, 's2', make_server('s2'))
+        await sleep_until(end_s + CONTACT_S)
+        for name, daemon in fleet.daemons.items():
+            assert daemon.servers == {'s2'}, name
+
+    for seed in _SEEDS:
+        run_fleet(dict.fromkeys(('n1', 'n2', 'n3'), cut), seed, scenario)
