Count the time for lapsed entries from the return of the store

What callers saw: requests reached a backend server up to 5.1 s after the store had acknowledged that it left (bound 2 s), from an instance that had not reached the store meanwhile.

Cause: entries of servers lapse while the store is away, and come back within two seconds of its return. An instance gave each missing entry these two seconds from its own list whenever its last call had failed, so a cut of this instance alone, one reset or one 503 counted as an outage of the store. With contact_s of 3 s less than one second was left to find the store again.

Ruled out: an old entry (no BACKEND_LISTED of the server), a request checked earlier (it came at 15.02 s).

Change: each daemon knows since when the store has answered it. Beats tell that of the others, with the era, as long as the sender asks often enough to notice an outage. A missing entry is kept only until two seconds after the earliest such time. The heartbeat interval is read from the settings.

The daemons of tests/platform use a heartbeat of 0.4 s, so that the outage of 1 s in test_entries_that_lapsed_in_an_outage_have_time_to_come_back still lets entries lapse; the test itself is as it was.

--- a/packages/core/src/geraniumshelf_core/presence/state.py
+++ b/packages/core/src/geraniumshelf_core/presence/state.py
@@ -43,6 +43,9 @@
         configuration_age: Time since the store last confirmed that its
             configuration is the newest.
         changes: Revision of the last change of each kind that it follows.
+        store_era: Era of the store's newest answer to it.
+        answered_for: Time for which the store has answered it so often that
+            no outage went unnoticed, 0 if it does not now.
         version: Version of the configuration in force there, 0 for none.
         zone_size: Daemons of its zone that may be alive, as it knows.
         next_in: Time until its next beat to the same instance.
@@ -61,6 +64,8 @@
     rate: float = 0
     configuration_age: Nanoseconds = LONG_AGO_NS
     changes: tuple[StoreRevision, ...] = ()
+    store_era: int = 0
+    answered_for: Nanoseconds = 0
     version: int = 0
     zone_size: int = 0
     next_in: Nanoseconds = 0
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -93,6 +93,7 @@
         self._following = Following(
             self._state,
             store,
+            self._policy.reach,
             clock,
             self._random,
             self._divide,
@@ -226,7 +227,7 @@
             now = self._clock()
             if not self._stopping.is_set():
                 await self._standby.adjust(self._state, now)
-            self._following.forget_removed(now)
+            self._following.forget_missing(now)
             self._spills.adjust(now)
             self._passer.close_quiet(now, is_stopping=False)
             measure_rate(self._rate, self._state.asked, now)
@@ -236,6 +237,10 @@
                 self._following.changes,
                 self._state.version,
             )
+            reach = self._policy.reach
+            self._fleet.heartbeats.confirm_answers(
+                reach.era, reach.answered_for(now)
+            )
             report_versions(self._state, self._presence, now)
             self._fleet.heartbeats.announce(
                 is_ready=self._is_ready(),
--- a/packages/daemon/src/geraniumshelf_daemon/edge/following.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/following.py
@@ -10,6 +10,7 @@
 from geraniumshelf_core.presence.versions import begin_loading
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.interface import SiteKind, SiteStore
+from geraniumshelf_daemon.edge.reach import StoreReach
 from geraniumshelf_daemon.edge.sinks import (
     ConfigurationSink,
     EvacuationSink,
@@ -39,6 +40,7 @@
         self,
         state: RelayState,
         store: SiteStore,
+        reach: StoreReach,
         clock: Callable[[], Nanoseconds],
         random: Random,
         on_change: Callable[[], None],
@@ -49,6 +51,7 @@
         Args:
             state: What the decisions about requests work on.
             store: The platform's store.
+            reach: Tells since when it has answered.
             clock: Returns the current time, nanoseconds.
             random: Spreads the calls of the daemons.
             on_change: Called with each new configuration.
@@ -58,10 +61,11 @@
         self._watchers: tuple[Watcher, ...] = ()
         self._state = state
         self._store = store
+        self._reach = reach
         self._clock = clock
         self._random = random
         self._on_change = on_change
-        self._servers = ServerSink(state)
+        self._servers = ServerSink(state, reach.answered_since)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -98,7 +102,7 @@
 
     def start(self) -> None:
         """Begin to follow the store."""
-        self._servers = ServerSink(self._state)
+        self._servers = ServerSink(self._state, self._reach.answered_since)
         sinks: tuple[RecordSink, ...] = (
             ConfigurationSink(self._state, self._on_change),
             self._servers,
@@ -109,6 +113,7 @@
                 self._store,
                 kind,
                 sink,
+                self._reach,
                 self._clock,
                 self._random,
                 self._rules,
@@ -130,15 +135,16 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._watchers = ()
+        self._reach.forget()
         self._state.table = None
         self._state.has_servers = False
         self._state.has_evacuations = False
         begin_loading(self._state.versions)
         forget_servers(self._state.placement)
 
-    def forget_removed(self, now: Nanoseconds) -> None:
+    def forget_missing(self, now: Nanoseconds) -> None:
         """Forget the servers whose entries have not come back in time."""
-        self._servers.forget_removed(now)
+        self._servers.forget_missing(now)
 
 
 async def guard_task(step: Callable[[], Awaitable[None]]) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -17,7 +17,7 @@
     WholeShareRequest,
 )
 
-_FORMAT: Final = 5
+_FORMAT: Final = 6
 Message = (
     Beat
     | ShareRequest
@@ -57,6 +57,8 @@
         int,
         int,
         int,
+        int,
+        int,
         list,
     ),
     ShareRequest: (str, int, dict),
--- a/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/peers.py
@@ -91,6 +91,15 @@
         self._confirmed_at = confirmed_at
         self._own = evolve(self._own, changes=changes, version=version)
 
+    def confirm_answers(self, era: int, answered_for: Nanoseconds) -> None:
+        """Take over what the next beats tell of the store's answers.
+
+        Args:
+            era: Era of the newest answer.
+            answered_for: Time for which it has answered, 0 if it does not.
+        """
+        self._own = evolve(self._own, store_era=era, answered_for=answered_for)
+
     def announce(
         self, *, is_ready: bool, is_standby: bool, rate: float = 0
     ) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
@@ -10,6 +10,9 @@
 # A request takes less than this from one daemon through another to a server.
 _TELLING_MS: Final = 500
 _TELLING_NS: Final[Nanoseconds] = _TELLING_MS * MILLISECOND_NS
+# What the operators of all deployments set.
+_USUAL_HEARTBEAT_MS: Final = 1500
+_USUAL_HEARTBEAT_NS: Final[Nanoseconds] = _USUAL_HEARTBEAT_MS * MILLISECOND_NS
 
 
 @frozen
@@ -32,6 +35,7 @@
         longest_ttl: Longest time that callers keep a directory answer.
         largest_shift: Largest share of a region's requests that may change
             region within two seconds.
+        heartbeat: Time between two heartbeats of a backend server.
     """
 
     contact: Nanoseconds
@@ -47,6 +51,7 @@
     cold_slack: float
     longest_ttl: Nanoseconds
     largest_shift: float
+    heartbeat: Nanoseconds = _USUAL_HEARTBEAT_NS
 
     @property
     def fresh(self) -> Nanoseconds:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
@@ -47,15 +47,11 @@
         self._state = state
         self._on_change = on_change
 
-    def replace(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def replace(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over the configuration; a missing one changes nothing."""
-        self.change(view, now, after_outage=after_outage)
+        self.change(view, now)
 
-    def change(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def change(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over the configuration unless it is older than the one held."""
         for record in view.records.values():
             if isinstance(record, SiteConfiguration):
@@ -75,40 +71,48 @@
 
 
 class ServerSink:
-    """Keeps the backend servers as the store lists them."""
+    """Keeps the backend servers as the store lists them.
 
-    def __init__(self, state: RelayState) -> None:
+    Args:
+        state: Takes the servers.
+        answered_since: Returns since when no entry has lapsed, from the
+            current time.
+    """
+
+    def __init__(
+        self,
+        state: RelayState,
+        answered_since: Callable[[Nanoseconds], Nanoseconds],
+    ) -> None:
         self._state = state
-        self._removed: dict[str, Nanoseconds] = {}
+        self._answered_since = answered_since
+        # Time since which the entry of a server in use has been missing.
+        self._missing: dict[str, Nanoseconds] = {}
         # An entry that lapsed comes back with the same start, and its server
         # is not cold.
         self._memory = ServerMemory()
 
-    def replace(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def replace(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over all servers; those that are missing are gone."""
-        has_begun = enter_era(self._memory, view.revision.era, now)
+        enter_era(self._memory, view.revision.era, now)
         missing = self._placement.servers.keys() - view.records.keys()
         for name in missing:
-            self._lose(name, now, after_outage=after_outage or has_begun)
-        self.change(view, now, after_outage=after_outage)
+            self._lose(name, now)
+        self.change(view, now)
         self._state.has_servers = True
 
-    def change(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def change(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over changed and removed servers."""
         for name, record in view.records.items():
             if isinstance(record, ListedServer):
                 self._take(record, now)
             else:
-                self._lose(name, now, after_outage=after_outage)
+                self._lose(name, now)
 
-    def forget_removed(self, now: Nanoseconds) -> None:
+    def forget_missing(self, now: Nanoseconds) -> None:
         """Forget the servers whose entries have not come back in time."""
-        for name, removed_at in tuple(self._removed.items()):
-            if now - removed_at >= RETURN_TIME_NS:
+        if self._missing and self._is_final(now):
+            for name in tuple(self._missing):
                 self._remove(name, now)
 
     @property
@@ -123,8 +127,12 @@
             return
         self._put(server, now)
 
+    def _is_final(self, now: Nanoseconds) -> bool:
+        """Return whether each entry that lapsed would be back by now."""
+        return now - self._answered_since(now) >= RETURN_TIME_NS
+
     def _put(self, server: ListedServer, now: Nanoseconds) -> None:
-        self._removed.pop(server.name, None)
+        self._missing.pop(server.name, None)
         cold_time = 0
         if self._state.has_servers and self._has_just_started(server):
             cold_time = self._cold_time(server.service)
@@ -161,16 +169,16 @@
         declared = table.configuration.services.get(service)
         return declared.cold_time if declared else _USUAL_COLD_NS
 
-    def _lose(self, name: str, now: Nanoseconds, *, after_outage: bool) -> None:
-        if not after_outage or name not in self._placement.servers:
+    def _lose(self, name: str, now: Nanoseconds) -> None:
+        if self._is_final(now) or name not in self._placement.servers:
             self._remove(name, now)
-        elif name not in self._removed:
-            self._removed[name] = now
+        elif name not in self._missing:
+            self._missing[name] = now
             count_metric(Metric.ENTRIES_MISSING)
             log_event(Event.BACKEND_MISSING, name)
 
     def _remove(self, name: str, now: Nanoseconds) -> None:
-        missing_since = self._removed.pop(name, now)
+        missing_since = self._missing.pop(name, now)
         view = self._placement.servers.get(name)
         if view is not None:
             remember_former(self._memory, view.server)
@@ -189,9 +197,7 @@
         self._state = state
         self._era: int | None = None
 
-    def replace(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def replace(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over all evacuated zones.
 
         The first list of a new era may lack some that were written since the
@@ -204,9 +210,7 @@
         self._set(frozenset(zones), now)
         self._state.has_evacuations = True
 
-    def change(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def change(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over evacuations that began or ended."""
         zones = set(self._state.placement.evacuated)
         for name, record in view.records.items():
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
@@ -11,6 +11,7 @@
 )
 from geraniumshelf_core.presence.state import Beat, PresenceState
 from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.edge.reach import StoreReach
 from geraniumshelf_daemon.edge.settings import EdgeBounds
 from geraniumshelf_daemon.edge.watching import WatchRules
 
@@ -18,6 +19,9 @@
 class WatchPolicy:
     """Decides about watches with what this daemon knows now.
 
+    Attributes:
+        reach: Since when the store has answered.
+
     Args:
         presence: What is known of the other daemons.
         own_beat: Returns the newest beat of this daemon.
@@ -33,6 +37,7 @@
         self._presence = presence
         self._own_beat = own_beat
         self._bounds = bounds
+        self.reach = StoreReach(presence, bounds)
 
     @property
     def rules(self) -> WatchRules:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
@@ -16,6 +16,7 @@
     ns_to_seconds,
 )
 from geraniumshelf_daemon.edge.interface import SiteKind, SiteStore, SiteView
+from geraniumshelf_daemon.edge.reach import StoreReach
 from geraniumshelf_daemon.observability.events import Event, log_event
 
 _PAUSE_S: Final = 0.25
@@ -35,14 +36,10 @@
 class RecordSink(Protocol):
     """Takes what was found."""
 
-    def replace(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def replace(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over all objects of the kind."""
 
-    def change(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def change(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over changes."""
 
 
@@ -69,6 +66,7 @@
         store: SiteStore,
         kind: SiteKind,
         sink: RecordSink,
+        reach: StoreReach,
         clock: Callable[[], Nanoseconds],
         random: Random,
         rules: WatchRules,
@@ -79,6 +77,7 @@
             store: The platform's store.
             kind: What to follow.
             sink: Takes what was found.
+            reach: Takes whether the store answers.
             clock: Returns the current time, nanoseconds.
             random: Spreads the calls of the daemons.
             rules: Decisions about watches.
@@ -87,6 +86,7 @@
         self._store = store
         self._kind = kind
         self._sink = sink
+        self._reach = reach
         self._clock = clock
         self._random = random
         self._revision: StoreRevision | None = None
@@ -164,11 +164,14 @@
             view = await self._store.list_records(self._kind)
             now = self._clock()
             self._note_era(view.revision.era, now)
-            self._sink.replace(view, now, after_outage=self._is_lost)
+            self._reach.note_answer(view.revision.era, now)
+            self._sink.replace(view, now)
             self._note_confirmed(view, asked_at)
             return
         found = await self._watch(self._revision)
         now = self._clock()
+        if found is not None:
+            self._reach.note_answer(found.revision.era, now)
         if self._settles_at is not None and now >= self._settles_at:
             self._settles_at = None
             self._revision = None
@@ -177,7 +180,7 @@
             return
         if found.records:
             self._changed_at = max(self._changed_at, found.changed_at)
-            self._sink.change(found, now, after_outage=self._is_lost)
+            self._sink.change(found, now)
         self._note_confirmed(found, now)
         if found.records:
             await asyncio.sleep(ns_to_seconds(self._rules.gather()))
@@ -248,6 +251,7 @@
             log_event(Event.WATCH_RESTARTED, self._kind.value)
             self._revision = None
             return
+        self._reach.note_failure()
         if not self._is_lost:
             self._is_lost = True
             log_event(Event.PLATFORM_LOST, error.detail)
--- a/tests/daemon/edge/cut_world.py
+++ b/tests/daemon/edge/cut_world.py
@@ -5,7 +5,8 @@
 from random import Random
 
 from attrs import define, evolve, field
-from tests.platform.world import BOUNDS, make_configuration
+from tests.platform.world import BOUNDS as USUAL_BOUNDS
+from tests.platform.world import make_configuration
 
 from geraniumshelf_core.errors import PlatformError, ResultCode
 from geraniumshelf_core.history.eras import StoreRevision
@@ -29,6 +30,7 @@
 from geraniumshelf_platform.records import decode_record
 from geraniumshelf_standins.virtual_time import VirtualTimeLoop
 
+BOUNDS = evolve(USUAL_BOUNDS, heartbeat=SECOND_NS * 3 // 2)
 CONTACT_S = BOUNDS.contact / SECOND_NS
 _TICK_S = 0.25
 _DELAY_S = 0.01
@@ -206,6 +208,7 @@
         self._following = Following(
             self.state,
             path,
+            self._policy.reach,
             clock,
             random,
             lambda: None,
@@ -231,13 +234,15 @@
     async def _tick(self) -> None:
         while True:
             now = clock()
-            self._following.forget_removed(now)
+            self._following.forget_missing(now)
             self._following.renew_missed(self._policy.has_missed, now)
             self._heartbeats.confirm(
                 self._following.confirmed_at,
                 self._following.changes,
                 self.state.version,
             )
+            reach = self._policy.reach
+            self._heartbeats.confirm_answers(reach.era, reach.answered_for(now))
             await asyncio.sleep(_TICK_S)
 
 
@@ -280,7 +285,7 @@
         store = SharedStore()
         store.put(SiteKind.CONFIGURATION, 'main', read_configuration(1))
         for name in servers:
-            store.put(SiteKind.SERVERS, name, evolve(make_server(name)))
+            store.put(SiteKind.SERVERS, name, make_server(name))
         ports: dict[str, DatagramPort] = {}
         daemons: dict[str, CutDaemon] = {}
         for name, times in cuts.items():
--- a/tests/daemon/edge/test_sinks.py
+++ b/tests/daemon/edge/test_sinks.py
@@ -22,12 +22,14 @@
 _NOW = 100 * SECOND_NS
 
 
-def _sink(*servers: ListedServer) -> tuple[ServerSink, PlacementState]:
+def _sink(
+    *servers: ListedServer, answered_since: int = 0
+) -> tuple[ServerSink, PlacementState]:
     placement = PlacementState(Place('a1', 'a'), {'a1': 'a'})
     state = RelayState(placement, Quotas(0, 0, 1), RetryShares(0, 0, 1))
-    sink = ServerSink(state)
+    sink = ServerSink(state, lambda _now: answered_since)
     view = SiteView(StoreRevision(0, 1), {one.name: one for one in servers})
-    sink.replace(view, _NOW, after_outage=False)
+    sink.replace(view, _NOW)
     return sink, placement
 
 
@@ -39,27 +41,23 @@
 
 def test_server_whose_entry_lapsed_is_not_cold_when_it_returns() -> None:
     """After an outage of the store nearly all servers would count as cold."""
-    sink, placement = _sink(_server(7))
+    sink, placement = _sink(_server(7), answered_since=_NOW)
     gone = SiteView(StoreRevision(0, 2), {'s1': None})
-    sink.change(gone, _NOW, after_outage=True)
-    sink.forget_removed(_NOW + RETURN_TIME_NS)
+    sink.change(gone, _NOW)
+    sink.forget_missing(_NOW + RETURN_TIME_NS - 1)
+    assert placement.servers
+    sink.forget_missing(_NOW + RETURN_TIME_NS)
     assert not placement.servers
     back = SiteView(StoreRevision(0, 3), {'s1': _server(7)})
-    sink.change(back, _NOW + RETURN_TIME_NS, after_outage=False)
+    sink.change(back, _NOW + RETURN_TIME_NS)
     assert placement.servers['s1'].cold_until == 0
 
 
 def test_server_that_started_again_is_cold() -> None:
     """It holds nothing of before and crashes under the full load."""
     sink, placement = _sink(_server(7))
-    sink.change(
-        SiteView(StoreRevision(0, 2), {'s1': None}), _NOW, after_outage=False
-    )
-    sink.change(
-        SiteView(StoreRevision(0, 3), {'s1': _server(8)}),
-        _NOW,
-        after_outage=False,
-    )
+    sink.change(SiteView(StoreRevision(0, 2), {'s1': None}), _NOW)
+    sink.change(SiteView(StoreRevision(0, 3), {'s1': _server(8)}), _NOW)
     assert placement.servers['s1'].cold_until > _NOW
 
 
@@ -72,9 +70,7 @@
 def test_removed_entry_is_gone_at_once_without_an_outage() -> None:
     """A server that leaves without a word serves only a little longer."""
     sink, placement = _sink(_server(7))
-    sink.change(
-        SiteView(StoreRevision(0, 2), {'s1': None}), _NOW, after_outage=False
-    )
+    sink.change(SiteView(StoreRevision(0, 2), {'s1': None}), _NOW)
     assert not placement.servers
 
 
@@ -84,12 +80,10 @@
     state = RelayState(placement, Quotas(0, 0, 1), RetryShares(0, 0, 1))
     record = decode_record(SiteKind.CONFIGURATION, 'main', make_configuration())
     ConfigurationSink(state, lambda: None).replace(
-        SiteView(StoreRevision(0, 1), {'main': record}),
-        _NOW,
-        after_outage=False,
+        SiteView(StoreRevision(0, 1), {'main': record}), _NOW
     )
     empty = SiteView(StoreRevision(0, 1), {})
-    ServerSink(state).replace(empty, _NOW, after_outage=False)
+    ServerSink(state, lambda _now: 0).replace(empty, _NOW)
     assert not state.is_loaded
-    EvacuationSink(state).replace(empty, _NOW, after_outage=False)
+    EvacuationSink(state).replace(empty, _NOW)
     assert state.is_loaded
--- a/tests/daemon/edge/test_standby.py
+++ b/tests/daemon/edge/test_standby.py
@@ -21,6 +21,7 @@
     SiteKind,
     SiteView,
 )
+from geraniumshelf_daemon.edge.reach import StoreReach
 from geraniumshelf_daemon.edge.settings import EdgeSettings
 from geraniumshelf_daemon.edge.standby import Standby
 from geraniumshelf_daemon.edge.state import build_state
@@ -92,6 +93,7 @@
         following = Following(
             state,
             store,
+            StoreReach(presence, lambda: BOUNDS),
             lambda: 0,
             Random(1),
             lambda: None,
--- a/tests/daemon/edge/test_watching.py
+++ b/tests/daemon/edge/test_watching.py
@@ -4,7 +4,10 @@
 from collections.abc import Callable
 from random import Random
 
+from tests.platform.world import BOUNDS
+
 from geraniumshelf_core.history.eras import StoreRevision
+from geraniumshelf_core.presence.state import PresenceState
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.eras import StoreEras
 from geraniumshelf_daemon.edge.interface import (
@@ -12,12 +15,14 @@
     SiteKind,
     SiteView,
 )
+from geraniumshelf_daemon.edge.reach import StoreReach
 from geraniumshelf_daemon.edge.watching import Watcher, WatchRules
 from geraniumshelf_standins.virtual_time import VirtualTimeLoop
 
 _OLD = StoreRevision(0, 10)
 _NEW = StoreRevision(0, 11)
 _TICK_S = 0.25
+_REACH = StoreReach(PresenceState('me'), lambda: BOUNDS)
 _RULES = WatchRules(
     lambda _now: 25 * SECOND_NS, lambda: False, lambda: SECOND_NS
 )
@@ -35,14 +40,10 @@
     def __init__(self) -> None:
         self.changed = asyncio.Event()
 
-    def replace(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def replace(self, view: SiteView, now: Nanoseconds) -> None:
         pass
 
-    def change(
-        self, view: SiteView, now: Nanoseconds, *, after_outage: bool
-    ) -> None:
+    def change(self, view: SiteView, now: Nanoseconds) -> None:
         self.changed.set()
 
 
@@ -107,7 +108,7 @@
         return round(loop.time() * SECOND_NS)
 
     watcher = Watcher(
-        store, SiteKind.CONFIGURATION, sink, clock, Random(1), rules
+        store, SiteKind.CONFIGURATION, sink, _REACH, clock, Random(1), rules
     )
     running = asyncio.create_task(watcher.run())
     try:
@@ -179,6 +180,7 @@
             _Store(0.1, is_silenced=True),
             SiteKind.CONFIGURATION,
             _Sink(),
+            _REACH,
             clock,
             Random(1),
             _RULES,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -22,6 +22,7 @@
     },
     'internal_ports': [7740, 7755],
     'seeds': ['10.1.0.35:8688', '10.2.0.40:8688'],
+    'heartbeat_s': 1.5,
     'bounds': {
         'contact_s': 4,
         'grace_s': 6,
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -34,6 +34,8 @@
     cold_slack=5,
     longest_ttl=5 * SECOND_NS,
     largest_shift=0.15,
+    # Entries lapse in outages that are short enough for tests.
+    heartbeat=SECOND_NS * 2 // 5,
 )
 
 
