Find out soon when the store answers again

What callers saw: in the first seconds after a cut, requests still went by the servers, the configuration and the evacuations of before.

Cause: a call that hangs at the end of a cut lasts up to two seconds, the next watch waited for a change for one more, and each of the three watches found out by itself.

Change: while a watch is lost, a daemon sends short calls one after the other without waiting for their answers, so the first one that can be answered is. Once one is, lost watches are asked again at once; a call that was asked before the answered one, and has no answer, is given up. The first question after a failure waits for no change. PROBE_UNANSWERED tells of failed probes.

Weighed: shorter time limits; a link that is full delays an answer by as much, and each call would fail there.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/following.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/following.py
@@ -10,6 +10,7 @@
 from geraniumshelf_core.presence.versions import begin_loading
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.interface import SiteKind, SiteStore
+from geraniumshelf_daemon.edge.probing import StoreProbe
 from geraniumshelf_daemon.edge.reach import StoreReach
 from geraniumshelf_daemon.edge.sinks import (
     ConfigurationSink,
@@ -120,8 +121,9 @@
             )
             for kind, sink in zip(_KINDS, sinks, strict=True)
         )
-        for watcher in self._watchers:
-            self._tasks.append(asyncio.create_task(guard_task(watcher.run)))
+        steps = (*(watcher.run for watcher in self._watchers), self._probe)
+        for step in steps:
+            self._tasks.append(asyncio.create_task(guard_task(step)))
 
     async def stop(self) -> None:
         """Follow the store no longer and forget what it held.
@@ -142,6 +144,21 @@
         begin_loading(self._state.versions)
         forget_servers(self._state.placement)
 
+    async def _probe(self) -> None:
+        probe = StoreProbe(
+            self._store,
+            self._reach,
+            self._clock,
+            self._random,
+            self._rules.is_prober,
+        )
+        await probe.run(lambda: self.is_lost, self._retry_lost)
+
+    def _retry_lost(self, answered: Nanoseconds) -> None:
+        for watcher in self._watchers:
+            if watcher.is_lost:
+                watcher.retry(answered)
+
     def forget_missing(self, now: Nanoseconds) -> None:
         """Forget the servers whose entries have not come back in time."""
         self._servers.forget_missing(now)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/reach.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/reach.py
@@ -1,5 +1,6 @@
 """Notes whether this daemon reaches the store, and who else does."""
 
+import asyncio
 from collections.abc import Callable
 
 from geraniumshelf_core.presence.answers import (
@@ -30,6 +31,7 @@
         self._presence = presence
         self._bounds = bounds
         self._answers = StoreAnswers()
+        self._has_failed = asyncio.Event()
 
     @property
     def era(self) -> int:
@@ -43,6 +45,12 @@
     def note_failure(self) -> None:
         """Take over that a call has failed."""
         record_failure(self._answers)
+        self._has_failed.set()
+
+    async def wait_failure(self) -> None:
+        """Wait until a call fails after the last wait."""
+        await self._has_failed.wait()
+        self._has_failed.clear()
 
     def forget(self) -> None:
         """Forget the answers: the store is followed no longer."""
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 from typing import Final, Protocol
 
@@ -19,18 +20,17 @@
 from geraniumshelf_daemon.edge.reach import StoreReach
 from geraniumshelf_daemon.observability.events import Event, log_event
 
-_PAUSE_S: Final = 0.25
-# A watch of a store in trouble may be lost, which shows at the end of its wait.
-_TROUBLE_WAIT_S: Final = 1.0
-# Daemons that don't lead their zone ask a store in trouble less often.
-_LATER_PAUSE_S: Final = 1.0
+# A watch that failed is asked again after this time, or as soon as the store
+# has answered a probe.
+_PAUSE_S: Final = 1.0
 # A change that others know of may still be on its way to this daemon, over a
 # link that large changes fill. The bounds are 2 s and more.
 _LATE_NS: Final[Nanoseconds] = SECOND_NS
 # An answer that was due comes within this time.
 _OVERDUE_NS: Final[Nanoseconds] = SECOND_NS
-# The store has the change that a renewed watch asks for, and answers at once.
-_RENEWED_WAIT_S: Final = 0
+# A renewed watch asks for a change that the store has, and one after a failure
+# whether it answers.
+_NO_WAIT_S: Final = 0
 
 
 class RecordSink(Protocol):
@@ -49,7 +49,7 @@
 
     Attributes:
         wait: Returns how long a watch may wait, from the current time.
-        is_prober: Returns whether this daemon asks a store in trouble often.
+        is_prober: Returns whether this daemon probes a store in trouble often.
         gather: Returns the time of which changes are fetched together.
     """
 
@@ -99,6 +99,8 @@
         self._missed_at: Nanoseconds | None = None
         self._call: asyncio.Future[SiteView] | None = None
         self._is_renewed = False
+        self._is_dropped = False
+        self._may_retry = asyncio.Event()
         # Whether the answer of the call has begun to arrive.
         self._is_answered = False
         self._is_lost = False
@@ -139,7 +141,7 @@
         """
         if self._missed_at is None:
             self._missed_at = now
-        if now - self._missed_at > _LATE_NS:
+        if now - self._missed_at > _LATE_NS and not self._is_renewed:
             self._drop_call()
 
     def check(self, now: Nanoseconds) -> None:
@@ -149,13 +151,24 @@
         one, since it began to wait.
         """
         longest = self._rules.wait(now) + _OVERDUE_NS
-        if now - self._asked_at > longest:
+        if now - self._asked_at > longest and not self._is_renewed:
+            self._drop_call()
+
+    def retry(self, answered: Nanoseconds) -> None:
+        """Ask again at once: the store has answered another call.
+
+        A call that was asked before that one, and is not answered yet, is lost.
+
+        Args:
+            answered: Time at which the answered call was asked.
+        """
+        self._may_retry.set()
+        if self._asked_at < answered:
             self._drop_call()
 
     def _drop_call(self) -> None:
-        may_drop = not self._is_renewed and not self._is_answered
-        if self._call is not None and may_drop:
-            self._is_renewed = True
+        if self._call is not None and not self._is_answered:
+            self._is_dropped = True
             self._call.cancel()
 
     async def _step(self) -> None:
@@ -206,7 +219,7 @@
 
     async def _watch(self, revision: StoreRevision) -> SiteView | None:
         """Return the changes after a revision, ``None`` to ask again."""
-        is_renewal, wait_s = self._is_renewed, self._wait_s()
+        wait_s = self._wait_s()
         self._asked_at = self._clock()
         self._call = asyncio.ensure_future(
             self._store.watch_records(
@@ -216,8 +229,9 @@
         try:
             found = await self._call
         except asyncio.CancelledError:
-            if is_renewal or not self._is_renewed or _is_stopped():
+            if not self._is_dropped or _is_stopped():
                 raise
+            self._is_renewed = True
             log_event(
                 Event.WATCH_RESTARTED,
                 self._kind.value,
@@ -229,6 +243,7 @@
             raise
         finally:
             self._call = None
+            self._is_dropped = False
             self._is_answered = False
         self._is_renewed = False
         return found
@@ -237,14 +252,14 @@
         self._is_answered = True
 
     def _wait_s(self) -> float:
-        if self._is_renewed:
-            return _RENEWED_WAIT_S
+        if self._is_renewed or self._is_lost:
+            return _NO_WAIT_S
         now = self._clock()
         wait_s = ns_to_seconds(self._rules.wait(now))
         if self._settles_at is not None:
             left = max(0, self._settles_at - now)
             wait_s = min(wait_s, ns_to_seconds(left))
-        return min(wait_s, _TROUBLE_WAIT_S) if self._is_lost else wait_s
+        return wait_s
 
     async def _recover(self, error: PlatformError) -> None:
         if error.code is ResultCode.WATCH_TOO_OLD:
@@ -255,8 +270,10 @@
         if not self._is_lost:
             self._is_lost = True
             log_event(Event.PLATFORM_LOST, error.detail)
-        pause = _PAUSE_S if self._rules.is_prober() else _LATER_PAUSE_S
-        await asyncio.sleep(pause * (1 + self._random.random()))
+        self._may_retry.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_PAUSE_S * (1 + self._random.random())):
+                await self._may_retry.wait()
 
 
 def _is_stopped() -> bool:
--- a/packages/daemon/src/geraniumshelf_daemon/observability/events.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/events.py
@@ -34,6 +34,7 @@
     STORE_ERA_BEGUN = 208
     ENTRY_OUTDATED = 209
     ENTRY_RESTORED = 210
+    PROBE_UNANSWERED = 211
 
     # Peers and membership.
     PEER_CONNECTED = 301
