Keep the notices of servers that are listed

Cause, found by reading: notices of the oldest starts were forgotten beyond 1,000 starts, also of servers in use. Their views kept the former notice, so what such a server, or another daemon, said of its leaving went to a new one that nobody read, and the server stayed in use until the store told of it.

Change: only notices of starts that are not listed are forgotten.

Test: test_departure_of_a_server_that_runs_long_is_not_lost failed before.

--- a/packages/core/src/geraniumshelf_core/placement/notices.py
+++ b/packages/core/src/geraniumshelf_core/placement/notices.py
@@ -23,7 +23,7 @@
 # A server that asks for a longer pause is tried again after this time.
 _LONGEST_PAUSE_S: Final = 300
 _LONGEST_PAUSE_NS: Final[Nanoseconds] = _LONGEST_PAUSE_S * SECOND_NS
-# Starts of servers whose notices are kept; twice the servers of a site.
+# Starts of servers whose notices are kept, beside those that are listed.
 _MOST_NOTICES: Final = 1000
 
 
@@ -47,11 +47,22 @@
     if notice is None:
         notice = Notice()
         state.notices[key] = notice
-        while len(state.notices) > _MOST_NOTICES:
-            del state.notices[next(iter(state.notices))]
+        if len(state.notices) > _MOST_NOTICES:
+            _forget_oldest(state, key)
     return notice
 
 
+def _forget_oldest(state: PlacementState, newest: tuple[str, int]) -> None:
+    """Forget the notice of the oldest start that is not listed."""
+    for key in state.notices:
+        name, started_at_ms = key
+        view = state.servers.get(name)
+        is_listed = view and view.server.started_at_ms == started_at_ms
+        if key != newest and not is_listed:
+            del state.notices[key]
+            return
+
+
 def record_departure(state: PlacementState, told: DepartureNotice) -> bool:
     """Note that a server leaves; return whether that is news."""
     notice = notice_of(state, told.server, told.started_at_ms)
--- a/tests/core/placement/test_notices.py
+++ b/tests/core/placement/test_notices.py
@@ -53,6 +53,19 @@
     assert choose_server(state, _WISH, _NOW) is not None
 
 
+def test_departure_of_a_server_that_runs_long_is_not_lost() -> None:
+    """After 1,000 later starts a server that said that it leaves was used."""
+    state = _state('s1')
+    for start in range(2, 1100):
+        server = ListedServer('s2', 'desk', 'h:2', 'a1', 2, started_at_ms=start)
+        put_server(state, server, _NOW)
+    remove_server(state, 's2')
+    assert record_departure(state, DepartureNotice('s1', 1))
+    rebuild_usable(state)
+    assert choose_server(state, _WISH, _NOW) is None
+    assert len(state.notices) <= 1000
+
+
 def test_pause_binds_choice_and_sending_until_its_end() -> None:
     """A connection may open while another answer asks for the pause."""
     state = _state('s1')
