Ask again at once when a watch fails for the first time

Cause: after a failure a watch paused before it was asked again. A watch whose connection goes silent is noticed contact_s - 0.2 s after it was asked; with the pause its daemon learnt of a server that left only after contact_s, when it counts as in touch.

Change: a watch that has not failed for 2 s is asked again without a pause. One that is cut again and again pauses as before.

Test: test_change_is_known_in_time_after_connections_went_silent failed before (100 seeds, virtual time).

--- a/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
@@ -23,6 +23,9 @@
 # A watch that failed is asked again after this time, or as soon as the store
 # has answered a probe.
 _PAUSE_S: Final = 1.0
+# A watch that fails is asked again without a pause if it has not failed for this
+# time; one that is cut again and again pauses.
+_CALM_NS: Final[Nanoseconds] = 2 * SECOND_NS
 # A change that others know of may still be on its way to this daemon, over a
 # link that large changes fill. The bounds are 2 s and more.
 _LATE_NS: Final[Nanoseconds] = SECOND_NS
@@ -97,6 +100,7 @@
         self._confirmed_at: Nanoseconds | None = None
         self._asked_at: Nanoseconds = 0
         self._missed_at: Nanoseconds | None = None
+        self._lost_at: Nanoseconds = -_CALM_NS
         self._call: asyncio.Future[SiteView] | None = None
         self._is_renewed = False
         self._is_dropped = False
@@ -267,9 +271,14 @@
             self._revision = None
             return
         self._reach.note_failure()
+        now = self._clock()
         if not self._is_lost:
             self._is_lost = True
             log_event(Event.PLATFORM_LOST, error.detail)
+            if now - self._lost_at >= _CALM_NS:
+                # Its connection may have been lost, and a new one may work.
+                self._lost_at = now
+                return
         self._may_retry.clear()
         with suppress(TimeoutError):
             async with asyncio.timeout(_PAUSE_S * (1 + self._random.random())):
--- a/tests/daemon/edge/test_cuts.py
+++ b/tests/daemon/edge/test_cuts.py
@@ -81,3 +81,18 @@
 
     for seed in _SEEDS:
         run_fleet(dict.fromkeys(('n1', 'n2', 'n3'), cut), seed, scenario)
+
+
+def test_change_is_known_in_time_after_connections_went_silent() -> None:
+    """The watches under way got no answer, and a failed one waited first."""
+    silent = ((_CUT_S, _CUT_S + 0.02),)
+
+    async def scenario(fleet: CutFleet) -> None:
+        await sleep_until(_CUT_S + 0.5)
+        fleet.store.put(SiteKind.SERVERS, 's1', None)
+        await sleep_until(_CUT_S + CONTACT_S)
+        for name, daemon in fleet.daemons.items():
+            assert daemon.servers == {'s2'}, name
+
+    for seed in range(100):
+        run_fleet(dict.fromkeys(('n1', 'n2', 'n3'), silent), seed, scenario)
