Notice silent connections to the store by keep-alive probes

Cause, found by reading: connections may go silent for good. In a large fleet all entries of a zone but one wait up to 25 s in a watch and rely on the beats of that one, which itself notices after 3.8 s. With the time of a beat and the second that a change may take on its way, the others learnt of a server that left up to 7 s after the loss; they count as in touch after 4 s.

Change: the system probes idle connections to the store after 1 s and closes them after two probes without an answer, 3 s after the loss. A connection that receives data is not idle, so long answers over a full link are not touched.

Test: test_silent_connection_of_a_long_watch_is_closed_by_the_system looks at the options of the socket; losing packets of one connection needs rights that the tests don't have.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
@@ -23,8 +23,8 @@
 # A watch that failed is asked again after this time, or as soon as the store
 # has answered a probe.
 _PAUSE_S: Final = 1.0
-# A watch that fails is asked again without a pause if it has not failed for this
-# time; one that is cut again and again pauses.
+# A watch that fails is asked again without a pause if it has not failed for
+# this time; one that is cut again and again pauses.
 _CALM_NS: Final[Nanoseconds] = 2 * SECOND_NS
 # A change that others know of may still be on its way to this daemon, over a
 # link that large changes fill. The bounds are 2 s and more.
--- a/packages/daemon/src/geraniumshelf_daemon/platform/calls.py
+++ b/packages/daemon/src/geraniumshelf_daemon/platform/calls.py
@@ -3,6 +3,15 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from contextvars import ContextVar
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    socket,
+)
 from typing import Any, Final
 
 from attrs import define, field
@@ -27,6 +36,12 @@
 # over the narrowest link of an instance, 5 Mbit/s.
 _BODY_TIMEOUT_S: Final = 4.0
 
+# A watch may wait for 25 s on a connection that has gone silent. It is closed
+# 3 s after that, before an instance of a large fleet counts as in touch again.
+_KEEPALIVE_IDLE_S: Final = 1
+_KEEPALIVE_INTERVAL_S: Final = 1
+_KEEPALIVE_PROBES: Final = 2
+
 _OK: Final = 200
 _SERVER_ERROR: Final = 500
 # Calls at a time; a daemon waits for some five.
@@ -214,12 +229,21 @@
         if self._source_address is not None:
             options['source_ip'] = self._source_address
         stream = await super().connect(*args, **options)
+        _notice_silence(stream.socket)
         call = _current_call.get(None)
         if call is not None:
             call.attach(stream)
         return stream
 
 
+def _notice_silence(connection: socket) -> None:
+    """Let the system close a connection whose other end is silent."""
+    connection.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, _KEEPALIVE_PROBES)
+
+
 def _discard_error(fetched: asyncio.Future[HTTPResponse]) -> None:
     if not fetched.cancelled():
         fetched.exception()
--- a/tests/platform/test_transfers.py
+++ b/tests/platform/test_transfers.py
@@ -1,15 +1,24 @@
 """Guards answers of the store that take long to transfer."""
 
 import asyncio
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+)
 
 import pytest
 from attrs import define, field
+from tests.platform.store_standin import StoreStandin
 from tests.platform.world import make_configuration, run
 
 from geraniumshelf_core.errors import PlatformError
 from geraniumshelf_core.history.eras import StoreRevision
 from geraniumshelf_daemon.edge.interface import SiteKind
-from geraniumshelf_daemon.platform.calls import do_nothing
+from geraniumshelf_daemon.platform.calls import _TrackedTCPClient, do_nothing
 from geraniumshelf_platform.store import ObjectStore
 
 _HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
@@ -154,3 +163,24 @@
         server.close()
 
     run(scenario)
+
+
+def test_silent_connection_of_a_long_watch_is_closed_by_the_system() -> None:
+    """A daemon that waits for 25 s would learn of nothing until then."""
+
+    async def scenario() -> None:
+        store = StoreStandin()
+        host, _, port = store.listen().rpartition(':')
+        stream = await _TrackedTCPClient(None).connect(host, int(port))
+        wanted = {
+            (SOL_SOCKET, SO_KEEPALIVE): 1,
+            (IPPROTO_TCP, TCP_KEEPIDLE): 1,
+            (IPPROTO_TCP, TCP_KEEPINTVL): 1,
+            (IPPROTO_TCP, TCP_KEEPCNT): 2,
+        }
+        found = {key: stream.socket.getsockopt(*key) for key in wanted}
+        stream.close()
+        await store.close()
+        assert found == wanted
+
+    run(scenario)
