--- a/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
@@ -12,7 +12,7 @@
 _TELLING_NS: Final[Nanoseconds] = _TELLING_MS * MILLISECOND_NS
 # What the operators of all deployments set.
 _USUAL_HEARTBEAT_MS: Final = 1500
-_USUAL_HEARTBEAT_NS: Final[Nanoseconds] = _USUAL_HEARTBEAT_MS * MILLISECOND_NS
+USUAL_HEARTBEAT_NS: Final[Nanoseconds] = _USUAL_HEARTBEAT_MS * MILLISECOND_NS
 
 
 @frozen
@@ -51,7 +51,7 @@
     cold_slack: float
     longest_ttl: Nanoseconds
     largest_shift: float
-    heartbeat: Nanoseconds = _USUAL_HEARTBEAT_NS
+    heartbeat: Nanoseconds = USUAL_HEARTBEAT_NS
 
     @property
     def fresh(self) -> Nanoseconds:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
@@ -96,18 +96,19 @@
         """Take over all servers; those that are missing are gone."""
         enter_era(self._memory, view.revision.era, now)
         missing = self._placement.servers.keys() - view.records.keys()
-        for name in missing:
-            self._lose(name, now)
+        self._lose(missing, now)
         self.change(view, now)
         self._state.has_servers = True
 
     def change(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over changed and removed servers."""
+        gone: set[str] = set()
         for name, record in view.records.items():
             if isinstance(record, ListedServer):
                 self._take(record, now)
             else:
-                self._lose(name, now)
+                gone.add(name)
+        self._lose(gone, now)
 
     def forget_missing(self, now: Nanoseconds) -> None:
         """Forget the servers whose entries have not come back in time."""
@@ -169,13 +170,18 @@
         declared = table.configuration.services.get(service)
         return declared.cold_time if declared else _USUAL_COLD_NS
 
-    def _lose(self, name: str, now: Nanoseconds) -> None:
-        if self._is_final(now) or name not in self._placement.servers:
-            self._remove(name, now)
-        elif name not in self._missing:
-            self._missing[name] = now
-            count_metric(Metric.ENTRIES_MISSING)
-            log_event(Event.BACKEND_MISSING, name)
+    def _lose(self, names: set[str], now: Nanoseconds) -> None:
+        if not names:
+            return
+        if self._is_final(now):
+            for name in names:
+                self._remove(name, now)
+            return
+        for name in names & self._placement.servers.keys():
+            if name not in self._missing:
+                self._missing[name] = now
+                count_metric(Metric.ENTRIES_MISSING)
+                log_event(Event.BACKEND_MISSING, name)
 
     def _remove(self, name: str, now: Nanoseconds) -> None:
         missing_since = self._missing.pop(name, now)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -8,6 +8,7 @@
 
 from geraniumshelf_core.errors import OperatorError, ResultCode
 from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_daemon.edge.settings import USUAL_HEARTBEAT_NS
 from geraniumshelf_platform.settings import read_settings
 
 SETTINGS: dict[str, Any] = {
@@ -22,7 +23,7 @@
     },
     'internal_ports': [7740, 7755],
     'seeds': ['10.1.0.35:8688', '10.2.0.40:8688'],
-    'heartbeat_s': 1.5,
+    'heartbeat_s': 0.5,
     'bounds': {
         'contact_s': 4,
         'grace_s': 6,
@@ -55,6 +56,15 @@
     assert found.peer_port == 7740
     assert found.bounds.contact == 4 * SECOND_NS
     assert found.bounds.largest_shift == 0.15
+    assert found.bounds.heartbeat == SECOND_NS // 2
+
+
+def test_usual_heartbeat_is_taken_if_none_is_set(tmp_path: Path) -> None:
+    """A daemon would not start for the want of a hint."""
+    content = {**SETTINGS}
+    del content['heartbeat_s']
+    found = read_settings(_write(tmp_path / 'boot.json', content))
+    assert found.bounds.heartbeat == USUAL_HEARTBEAT_NS
 
 
 @pytest.mark.parametrize(
