Tell other regions at once that a server leaves

Cause, found by reading after the incident of leaving servers, on the product's own interface: the daemons of a region hear of a leaving server with each poll, those of other regions with each tenth, as they only steer by the loads. But they also send requests to it when their own region has no room, for up to 10 s after it said that it leaves (target 3 s).

Change: a report that tells of a server that was not known to leave goes to all regions at once, also when it is passed on. Others stay as rare as they were.

Test: test_other_regions_hear_at_once_that_a_server_leaves failed before.

--- a/packages/daemon/src/geraniumshelf_daemon/steering/collector.py
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/collector.py
@@ -33,10 +33,11 @@
 
 _PERIOD_S: Final = 1
 
-# Peers of the own region learn of leaving servers with each poll; other
-# regions only steer by the loads, which may lag, and get fewer reports. With
-# 5 and 2 rounds, frames of nine daemons would add up to 2.4 KB/s for each; the
-# bound for the whole control plane is 2 KB/s.
+# Peers of the own region get each poll. Other regions steer by the loads, which
+# may lag, and get fewer reports; they also use the servers when their own have
+# no room, and hear at once of a server that leaves. With 5 and 2 rounds, frames
+# of nine daemons would add up to 2.4 KB/s for each; the bound for the whole
+# control plane is 2 KB/s.
 _FAR_ROUNDS: Final = 10
 _DEMAND_ROUNDS: Final = 5
 
@@ -110,8 +111,9 @@
         )
         if not report.servers:
             return
+        has_departure = bool(self._departing(report))
         self._record(report)
-        self._send_loads(report, '')
+        self._send_loads(report, '', is_urgent=has_departure)
 
     def _rows(
         self, answers: Iterable[tuple[BackendServer, ServerAnswer | None]]
@@ -128,15 +130,19 @@
             )
 
     def _record(self, report: LoadReport) -> bool:
-        leaving = [
+        departing = self._departing(report)
+        is_new = record_loads(self.book, report, self.clock())
+        for name in departing if is_new else ():
+            log_event(Event.BACKEND_LEAVING, server=name)
+        return is_new
+
+    def _departing(self, report: LoadReport) -> list[str]:
+        """Return the servers that leave and were not known to."""
+        return [
             name
             for name, _, _, is_leaving in report.servers
             if is_leaving and not is_server_leaving(self.book, name)
         ]
-        is_new = record_loads(self.book, report, self.clock())
-        for name in leaving if is_new else ():
-            log_event(Event.BACKEND_LEAVING, server=name)
-        return is_new
 
     def _report_demand(self) -> None:
         now = self.clock()
@@ -152,8 +158,9 @@
 
     async def _on_loads(self, peer: str, report: LoadReport) -> None:
         check_rows(report.servers, _SERVER_ROW)
+        has_departure = bool(self._departing(report))
         if self._record(report) and self._is_relay_needed(report.links):
-            self._send_loads(report, peer)
+            self._send_loads(report, peer, is_urgent=has_departure)
 
     async def _on_demand(self, peer: str, report: DemandReport) -> None:
         check_rows(report.requests, _DEMAND_ROW)
@@ -164,9 +171,11 @@
     def _is_relay_needed(self, links: int) -> bool:
         return links + 1 < len(self.entries.entries())
 
-    def _send_loads(self, report: LoadReport, sender: str) -> None:
+    def _send_loads(
+        self, report: LoadReport, sender: str, *, is_urgent: bool
+    ) -> None:
         regions = {row.instance: row.region for row in self.entries.entries()}
-        is_far_due = report.sequence % _FAR_ROUNDS == 0
+        is_far_due = is_urgent or report.sequence % _FAR_ROUNDS == 0
         self._send(
             report,
             frozenset(
--- a/tests/daemon/steering/test_collector.py
+++ b/tests/daemon/steering/test_collector.py
@@ -114,6 +114,22 @@
     ]
 
 
+def test_other_regions_hear_at_once_that_a_server_leaves(nodes) -> None:
+    """Daemons of a failover region sent to it for up to 10 s."""
+    world, network, collectors = nodes
+
+    async def rounds() -> None:
+        await collectors['a'].collect()
+        await network.deliver()
+        assert is_server_leaving(collectors['b'].book, 'a')
+        assert is_server_leaving(collectors['c'].book, 'a')
+        world.now += SECOND_NS
+        await collectors['a'].collect()
+        assert not network.queue
+
+    asyncio.run(rounds())
+
+
 @pytest.mark.parametrize(
     'message',
     [
