--- a/tests/core/presence/test_answers.py
+++ b/tests/core/presence/test_answers.py
@@ -61,14 +61,14 @@
     assert _since(state, presence, 13.5) == -47
 
 
-def test_word_of_another_daemon_does_not_outlive_an_outage() -> None:
+def test_report_of_another_daemon_does_not_outlive_an_outage() -> None:
     """It was heard before the store went away for all."""
     state = _answers(1, 13, fails=True)
     presence = _presence(60 * SECOND_NS, 9 * SECOND_NS)
     assert _since(state, presence, 13) == 13
 
 
-def test_word_about_an_earlier_era_does_not_count() -> None:
+def test_report_about_an_earlier_era_does_not_count() -> None:
     """The store has come back from a copy that may lack entries since."""
     state = _answers(1, 2)
     record_answer(state, _ERA + 1, _LIMITS, 3 * SECOND_NS)
@@ -76,7 +76,7 @@
     assert _since(state, presence, 3) == 3
 
 
-def test_daemon_that_asks_rarely_is_no_witness() -> None:
+def test_report_of_a_daemon_that_asks_rarely_does_not_count() -> None:
     """A silent outage may have passed while it waited for a change."""
     state = _answers(1, 26)
     assert answered_for(state, _LIMITS, 26 * SECOND_NS) == 0
