Test with real daemons that a cut-off entry believes the others

The tests of cuts in virtual time repeat the tick of a daemon; this one fails if the daemon does not tell the others since when the store has answered it (checked by breaking it on purpose).

--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -42,12 +42,14 @@
         revision: Revision of the newest change.
         calls: Method and path of every call.
         era: Told in all answers; rises with each return from a copy.
+        silent_to: IP addresses of callers that get no answer.
     """
 
     mood: Mood = Mood.SOUND
     revision: int = 10
     calls: list[str] = field(factory=list)
     era: int = 1
+    silent_to: set[str] = field(factory=set)
     _objects: dict[tuple[str, str], dict[str, Any]] = field(factory=dict)
     _events: list[tuple[int, str, dict[str, Any], bool]] = field(factory=list)
     _oldest: int = 0
@@ -136,7 +138,10 @@
 
     async def _answer(self, request: HTTPServerRequest) -> None:
         self.calls.append(f'{request.method} {request.uri}')
-        match self.mood:
+        mood = self.mood
+        if request.remote_ip in self.silent_to:
+            mood = Mood.SILENT
+        match mood:
             case Mood.SILENT:
                 return
             case Mood.RESET:
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from attrs import define, evolve, field
+from loguru import logger
 from tests.platform.server_standin import ServerStandin
 from tests.platform.store_standin import Mood, StoreStandin
 from tests.platform.world import (
@@ -106,8 +107,11 @@
                 cores=cores,
                 peer_port=peer_port,
                 seeds=('127.0.0.11',),
-                # A configuration stays fresh between two calls of an entry.
-                bounds=evolve(BOUNDS, apply=5 * SECOND_NS),
+                # A configuration stays fresh between two calls of an entry,
+                # and a beat counts for two heartbeats of a server.
+                bounds=evolve(
+                    BOUNDS, apply=5 * SECOND_NS, heartbeat=SECOND_NS * 6 // 5
+                ),
             )
             for number, (name, cores) in enumerate(_CORES.items(), start=11)
         },
@@ -155,6 +159,36 @@
     _run_fleet(scenario)
 
 
+def test_cut_off_entry_drops_a_server_that_the_others_know_to_be_gone() -> None:
+    """It would keep it for two seconds, as after an outage for all."""
+
+    async def scenario(fleet: Fleet) -> None:
+        cut = fleet.settings['l1'].ip
+        fleet.store.put('servers', 'i-2', fleet.server.entry('desk', 'a1'))
+        placement = fleet.daemons['l1']._state.placement
+        async with asyncio.timeout(BOUND_S):
+            while 'i-2' not in placement.servers:
+                await asyncio.sleep(0.05)
+        fleet.store.silent_to.add(cut)
+        # The watches under way are answered once more.
+        fleet.store.put('servers', 'i-3', fleet.server.entry('desk', 'a1'))
+        await asyncio.sleep(3)
+        fleet.store.remove('servers', 'i-2')
+        fleet.store.compact()
+        await asyncio.sleep(1)
+        assert 'i-2' in placement.servers
+        lines: list[str] = []
+        log = logger.add(lines.append)
+        fleet.store.silent_to.clear()
+        async with asyncio.timeout(BOUND_S):
+            while 'i-2' in placement.servers:
+                await asyncio.sleep(0.05)
+        logger.remove(log)
+        assert not [one for one in lines if 'BACKEND_MISSING' in one]
+
+    _run_fleet(scenario)
+
+
 def test_standby_passes_callers_to_an_entry() -> None:
     """A caller with an old address would get refusals for good."""
 
