Draw the ports of test daemons where no outgoing connection takes them

Cause: ports were drawn by binding to port 0 of 127.0.0.1 and freed again. The system may give such a port to an outgoing connection, also of another run of the tests, before the daemon listens at it, and the fleets listen at other addresses than the one that was asked. Seen: OSError 98 in 4 of 12 runs of tests/platform/test_fleet.py, four at a time; load average 18.

Change: ports are drawn below those of outgoing connections, and tried at the address at which they are used.

--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import ExitStack, asynccontextmanager
-from random import Random
+from contextlib import ExitStack, asynccontextmanager, suppress
+from random import Random, SystemRandom
 from socket import socket
 from typing import Any
 
@@ -19,6 +19,7 @@
 
 BOUND_S = 15.0
 HOST = 'shop.example'
+_PORTS = range(10_000, 32_000)
 ZONES = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
 BOUNDS = EdgeBounds(
     contact=3 * SECOND_NS,
@@ -261,7 +262,7 @@
 def make_settings(store_address: str, **fields: Any) -> EdgeSettings:
     """Return the settings of a daemon; fields replace the usual ones."""
     ip = fields.pop('ip', '127.0.0.1')
-    ports = free_ports(5)
+    ports = free_ports(5, ip)
     return evolve(
         EdgeSettings(
             name='n1',
@@ -282,14 +283,18 @@
     )
 
 
-def free_ports(count: int) -> list[int]:
-    """Return different ports that nothing listens at.
+def free_ports(count: int, ip: str = '127.0.0.1') -> list[int]:
+    """Return different ports of an address that nothing listens at.
 
-    All are held until the last one is drawn; the system may otherwise give out
-    the same one twice.
+    They lie below those that the system gives to outgoing connections, which
+    could take one before a daemon listens at it.
     """
+    drawn = SystemRandom().sample(_PORTS, len(_PORTS))
     with ExitStack() as held:
-        probes = [held.enter_context(socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(('127.0.0.1', 0))
-        return [int(probe.getsockname()[1]) for probe in probes]
+        ports: list[int] = []
+        while len(ports) < count:
+            probe = held.enter_context(socket())
+            with suppress(OSError):
+                probe.bind((ip, drawn.pop()))
+                ports.append(int(probe.getsockname()[1]))
+        return ports
