Tell a new era of the store in one place

Four places compared the era of an answer with the last one by themselves, beside observe_era. They share begins_era now.

--- a/packages/core/src/geraniumshelf_core/history/eras.py
+++ b/packages/core/src/geraniumshelf_core/history/eras.py
@@ -82,3 +82,8 @@
         return SameEra()
     state.newest = era
     return EraBegun(newest)
+
+
+def begins_era(state: EraState, era: int) -> bool:
+    """Take over the era of an answer; return whether a later one began."""
+    return isinstance(observe_era(state, era), EraBegun)
--- a/packages/core/src/geraniumshelf_core/history/registering.py
+++ b/packages/core/src/geraniumshelf_core/history/registering.py
@@ -10,9 +10,13 @@
 from collections.abc import Collection, Mapping
 from typing import Final
 
-from attrs import define
+from attrs import define, field
 
-from geraniumshelf_core.history.eras import SETTLING_NS
+from geraniumshelf_core.history.eras import (
+    SETTLING_NS,
+    EraState,
+    begins_era,
+)
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 
 # The first era of a store that never came back from a copy. One that counts
@@ -30,18 +34,21 @@
 
     Attributes:
         started_at: Time of the daemon's start.
-        era: Era of the last list, ``None`` before the first.
+        eras: Eras of the lists.
     """
 
     started_at: Nanoseconds
-    era: int | None = None
+    eras: EraState = field(factory=EraState)
+
+    @property
+    def era(self) -> int | None:
+        """Return the era of the last list, ``None`` before the first."""
+        return self.eras.newest
 
 
 def note_list(reading: RegistryReading, era: int) -> bool:
     """Take over the era of a list; return whether a later one began."""
-    has_begun = reading.era is not None and era > reading.era
-    reading.era = era
-    return has_begun
+    return begins_era(reading.eras, era)
 
 
 def is_complete(reading: RegistryReading, now: Nanoseconds) -> bool:
--- a/packages/core/src/geraniumshelf_core/history/servers.py
+++ b/packages/core/src/geraniumshelf_core/history/servers.py
@@ -8,7 +8,11 @@
 
 from attrs import define, field
 
-from geraniumshelf_core.history.eras import SETTLING_NS
+from geraniumshelf_core.history.eras import (
+    SETTLING_NS,
+    EraState,
+    begins_era,
+)
 from geraniumshelf_core.site.model import ListedServer
 from geraniumshelf_core.units import Nanoseconds
 
@@ -21,22 +25,21 @@
     """What is remembered of servers beside the store's list.
 
     Attributes:
-        era: Era of the last list, ``None`` before the first.
+        eras: Eras of the lists.
         settles_at: Time until which entries are compared with what was known.
         former: Last entries of servers that are gone, the oldest first.
     """
 
-    era: int | None = None
+    eras: EraState = field(factory=EraState)
     settles_at: Nanoseconds = 0
     former: dict[str, ListedServer] = field(factory=dict)
 
 
 def enter_era(memory: ServerMemory, era: int, now: Nanoseconds) -> bool:
     """Take over the era of a list; return whether a later one began."""
-    has_begun = memory.era is not None and era > memory.era
+    has_begun = begins_era(memory.eras, era)
     if has_begun:
         memory.settles_at = now + SETTLING_NS
-    memory.era = era
     return has_begun
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from geraniumshelf_core.history.eras import EraState, begins_era
 from geraniumshelf_core.history.servers import (
     ServerMemory,
     enter_era,
@@ -201,7 +202,7 @@
 
     def __init__(self, state: RelayState) -> None:
         self._state = state
-        self._era: int | None = None
+        self._eras = EraState()
 
     def replace(self, view: SiteView, now: Nanoseconds) -> None:
         """Take over all evacuated zones.
@@ -210,9 +211,8 @@
         copy; those end when a later list lacks them, too.
         """
         zones = {name for name, found in view.records.items() if found}
-        if self._era is not None and view.revision.era > self._era:
+        if begins_era(self._eras, view.revision.era):
             zones |= self._state.placement.evacuated
-        self._era = view.revision.era
         self._set(frozenset(zones), now)
         self._state.has_evacuations = True
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watching.py
@@ -9,7 +9,12 @@
 from attrs import frozen
 
 from geraniumshelf_core.errors import PlatformError, ResultCode
-from geraniumshelf_core.history.eras import SETTLING_NS, StoreRevision
+from geraniumshelf_core.history.eras import (
+    SETTLING_NS,
+    EraState,
+    StoreRevision,
+    begins_era,
+)
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
     SECOND_NS,
@@ -94,7 +99,7 @@
         self._random = random
         self._revision: StoreRevision | None = None
         self._changed_at = StoreRevision()
-        self._era = 0
+        self._eras = EraState()
         # Time of the list that ends the settling of a new era.
         self._settles_at: Nanoseconds | None = None
         self._confirmed_at: Nanoseconds | None = None
@@ -203,10 +208,9 @@
             await asyncio.sleep(ns_to_seconds(self._rules.gather()))
 
     def _note_era(self, era: int, now: Nanoseconds) -> None:
-        if era > self._era and self._confirmed_at is not None:
+        if begins_era(self._eras, era):
             # A list that lacks what was written again is read once more.
             self._settles_at = now + SETTLING_NS
-        self._era = era
 
     def _note_confirmed(self, view: SiteView, at: Nanoseconds) -> None:
         if self._is_lost:
