--- a/packages/daemon/src/geraniumshelf_daemon/steering/collector.py
+++ b/packages/daemon/src/geraniumshelf_daemon/steering/collector.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from geraniumshelf_core.configuration.model import BackendServer
 from geraniumshelf_core.loads.commands import (
@@ -45,6 +45,19 @@
 _DEMAND_ROW: Final = (str, str, int)
 
 
+@frozen
+class _Recorded:
+    """What a report brought.
+
+    Attributes:
+        is_new: Whether it was not known.
+        tells_departure: Whether a server in it leaves that was not known to.
+    """
+
+    is_new: bool
+    tells_departure: bool
+
+
 @define
 class LoadCollector:
     """Polls the backend servers of the own zone and shares what it learns.
@@ -111,9 +124,8 @@
         )
         if not report.servers:
             return
-        has_departure = bool(self._departing(report))
-        self._record(report)
-        self._send_loads(report, '', is_urgent=has_departure)
+        recorded = self._record(report)
+        self._send_loads(report, '', is_urgent=recorded.tells_departure)
 
     def _rows(
         self, answers: Iterable[tuple[BackendServer, ServerAnswer | None]]
@@ -129,20 +141,16 @@
                 int(answer.is_leaving),
             )
 
-    def _record(self, report: LoadReport) -> bool:
-        departing = self._departing(report)
-        is_new = record_loads(self.book, report, self.clock())
-        for name in departing if is_new else ():
-            log_event(Event.BACKEND_LEAVING, server=name)
-        return is_new
-
-    def _departing(self, report: LoadReport) -> list[str]:
-        """Return the servers that leave and were not known to."""
-        return [
+    def _record(self, report: LoadReport) -> _Recorded:
+        departing = [
             name
             for name, _, _, is_leaving in report.servers
             if is_leaving and not is_server_leaving(self.book, name)
         ]
+        is_new = record_loads(self.book, report, self.clock())
+        for name in departing if is_new else ():
+            log_event(Event.BACKEND_LEAVING, server=name)
+        return _Recorded(is_new, bool(departing))
 
     def _report_demand(self) -> None:
         now = self.clock()
@@ -158,9 +166,9 @@
 
     async def _on_loads(self, peer: str, report: LoadReport) -> None:
         check_rows(report.servers, _SERVER_ROW)
-        has_departure = bool(self._departing(report))
-        if self._record(report) and self._is_relay_needed(report.links):
-            self._send_loads(report, peer, is_urgent=has_departure)
+        recorded = self._record(report)
+        if recorded.is_new and self._is_relay_needed(report.links):
+            self._send_loads(report, peer, is_urgent=recorded.tells_departure)
 
     async def _on_demand(self, peer: str, report: DemandReport) -> None:
         check_rows(report.requests, _DEMAND_ROW)
