Tell when a daemon's list of servers may lack changes

Operators saw cold servers flooded. The logs did not tell how old a daemon's knowledge of a server was, nor how many requests it had sent to the server.

BACKENDS_UNCONFIRMED and BACKENDS_CONFIRMED (611, 612), the counter backends_unconfirmed and sent_last_s of BACKEND_COLD tell it. No decision uses them.

--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -175,6 +175,14 @@
     count_cold_send(view, now)
 
 
+def record_send(view: ServerView, now: Nanoseconds) -> None:
+    """Record the time at which a request is sent to a server."""
+    send_times = view.send_times
+    send_times.append(now)
+    while now - send_times[0] > COLD_WINDOW_NS:
+        send_times.popleft()
+
+
 def count_cold_send(view: ServerView, now: Nanoseconds) -> None:
     """Count a request against the rate limit of a server if it is cold."""
     if is_cold(view, now):
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -53,6 +53,7 @@
         cold_until: End of its cold start, 0 for none.
         cold_send_times: Times at which this daemon sent requests during its
             cold start.
+        send_times: Times at which this daemon sent requests to it lately.
         warm_objects: Objects that it has handled for this daemon, least
             recently used first (an ordered set).
         idle_time: Keep-alive timeout that it announced, ``None`` if it
@@ -74,6 +75,7 @@
     full_until: Nanoseconds = 0
     cold_until: Nanoseconds = 0
     cold_send_times: deque[Nanoseconds] = field(factory=deque)
+    send_times: deque[Nanoseconds] = field(factory=deque)
     warm_objects: dict[str, None] = field(factory=dict)
     idle_time: Nanoseconds | None = None
 
@@ -128,6 +130,8 @@
         typical_work_times: Average work by service.
         has_placed_requests: Whether requests have been placed; from then on
             objects change region only in bounded steps.
+        list_confirmed_at: Time at which the list of servers was last known to
+            lack no change; 0 before the first list.
         policies: The policies in use.
     """
 
@@ -143,6 +147,7 @@
     rankings: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
     has_placed_requests: bool = False
+    list_confirmed_at: Nanoseconds = 0
     policies: Policies = DEFAULT_POLICIES
 
 
--- a/packages/core/src/geraniumshelf_core/presence/freshness.py
+++ b/packages/core/src/geraniumshelf_core/presence/freshness.py
@@ -140,6 +140,23 @@
     )
 
 
+def is_newer_change_known(
+    state: PresenceState, kind: int, seen: StoreRevision
+) -> bool:
+    """Return whether any other daemon has reported a newer change.
+
+    Args:
+        state: State of the other daemons.
+        kind: Index of the kind in the changes of a heartbeat.
+        seen: Revision up to which this daemon has seen all changes.
+    """
+    return any(
+        peer.heartbeat.changes[kind] > seen
+        for peer in state.peers.values()
+        if len(peer.heartbeat.changes) > kind
+    )
+
+
 def choose_forwarding_target(
     state: PresenceState,
     forwarding: ConnectionForwarding,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -252,6 +252,9 @@
             self._store_follower.renew_outdated(
                 self._watch_policy.has_missed, now
             )
+            self._store_follower.confirm_servers(
+                self._watch_policy.is_behind, now
+            )
             self._fleet.heartbeats.update_store_report(
                 self._store_follower.build_report(now)
             )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -12,6 +12,7 @@
     begin_request,
     end_request,
     record_report,
+    record_send,
 )
 from geraniumshelf_core.placement.queries import typical_work
 from geraniumshelf_core.placement.state import Candidate
@@ -220,6 +221,7 @@
         progress.attempts += 1
         progress.ran = Ran.UNKNOWN
         sent_at = self._clock()
+        record_send(choice.view, sent_at)
         response = await attempt.send_request(
             caller, self._selector.cap_wait(request, choice, sent_at, progress)
         )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
@@ -15,6 +15,7 @@
     remove_server,
     set_evacuated,
 )
+from geraniumshelf_core.placement.confirmation import count_recent_sends
 from geraniumshelf_core.placement.state import PlacementState
 from geraniumshelf_core.site.model import (
     ListedServer,
@@ -150,12 +151,14 @@
             draining=server.is_draining,
             sequence=server.sequence,
         )
-        cold_left = self._placement.servers[server.name].cold_until - now
+        view = self._placement.servers[server.name]
+        cold_left = view.cold_until - now
         if cold_left > 0:
             log_event(
                 Event.BACKEND_COLD,
                 server.name,
                 cold_for_ms=cold_left // MILLISECOND_NS,
+                sent_last_s=count_recent_sends(view, now),
             )
 
     def _has_just_started(self, server: ListedServer) -> bool:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_availability.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_availability.py
@@ -38,6 +38,11 @@
         """Return the era of the newest response."""
         return self._availability.era
 
+    @property
+    def last_response_at(self) -> Nanoseconds | None:
+        """Return the time of the newest response, ``None`` for none."""
+        return self._availability.last_response_at
+
     def record_store_response(self, era: int, now: Nanoseconds) -> None:
         """Record that the store has responded."""
         record_response(self._availability, era, self._limits(), now)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_follower.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_follower.py
@@ -7,9 +7,13 @@
 
 from geraniumshelf_core.history.eras import StoreRevision
 from geraniumshelf_core.placement.commands import clear_servers
+from geraniumshelf_core.placement.confirmation import (
+    confirm_list,
+    is_list_current,
+)
 from geraniumshelf_core.presence.state import StoreReport
 from geraniumshelf_core.presence.versions import begin_loading
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.interface import PlatformStore, RecordKind
 from geraniumshelf_daemon.edge.sinks import (
     ConfigurationSink,
@@ -27,6 +31,8 @@
     WatchRules,
 )
 from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric
 
 _RESTART_DELAY_S: Final = 0.5
 # In the order of ``changes`` in a heartbeat.
@@ -35,6 +41,7 @@
     RecordKind.SERVERS,
     RecordKind.EVACUATIONS,
 )
+_SERVERS_INDEX: Final = _FOLLOWED_KINDS.index(RecordKind.SERVERS)
 
 
 class StoreFollower:
@@ -71,6 +78,7 @@
         self._on_change = on_change
         self._server_sink = ServerSink(state, availability.available_since)
         self._tasks: list[asyncio.Task[None]] = []
+        self._was_list_current = False
 
     @property
     def is_disconnected(self) -> bool:
@@ -106,6 +114,51 @@
             if has_missed(kind_index, watcher.seen_revision):
                 watcher.renew(now)
 
+    def confirm_servers(
+        self,
+        is_behind: Callable[[int, StoreRevision], bool],
+        now: Nanoseconds,
+    ) -> None:
+        """Update until when the list of servers was known to be complete.
+
+        Args:
+            is_behind: Returns whether another daemon knows of a newer change,
+                for the index of the kind in ``changes`` and the revision up to
+                which all changes are known here.
+            now: Current time.
+        """
+        placement = self._state.placement
+        confirmed_at = self._servers_confirmed_at(is_behind)
+        if confirmed_at is not None:
+            confirm_list(placement, confirmed_at)
+        is_current = is_list_current(placement, now)
+        if is_current == self._was_list_current or not self._state.has_servers:
+            return
+        self._was_list_current = is_current
+        age_ms = (now - placement.list_confirmed_at) // MILLISECOND_NS
+        if is_current:
+            log_event(Event.BACKENDS_CONFIRMED, age_ms=age_ms)
+        else:
+            count_metric(Metric.BACKENDS_UNCONFIRMED)
+            log_event(Event.BACKENDS_UNCONFIRMED, age_ms=age_ms)
+
+    def _servers_confirmed_at(
+        self, is_behind: Callable[[int, StoreRevision], bool]
+    ) -> Nanoseconds | None:
+        if not self._watchers:
+            return None
+        watcher = self._watchers[_SERVERS_INDEX]
+        confirmed_at = watcher.confirmed_at
+        last_response_at = self._availability.last_response_at
+        if (
+            confirmed_at is None
+            or last_response_at is None
+            or watcher.is_disconnected
+            or is_behind(_SERVERS_INDEX, watcher.seen_revision)
+        ):
+            return confirmed_at
+        return max(confirmed_at, last_response_at)
+
     def start(self) -> None:
         """Start to follow the store."""
         self._server_sink = ServerSink(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
@@ -6,6 +6,7 @@
 from geraniumshelf_core.presence.freshness import (
     change_batch_interval,
     has_missed_changes,
+    is_newer_change_known,
     is_prober,
     watch_timeout,
 )
@@ -59,6 +60,15 @@
             self._presence, self._own_heartbeat(), kind, seen_revision
         )
 
+    def is_behind(self, kind: int, seen_revision: StoreRevision) -> bool:
+        """Return whether any other daemon knows of a newer change.
+
+        Args:
+            kind: Index of the kind in ``changes`` of a heartbeat.
+            seen_revision: Revision up to which all changes are known here.
+        """
+        return is_newer_change_known(self._presence, kind, seen_revision)
+
     def _watch_timeout(self, now: Nanoseconds) -> Nanoseconds:
         contact_time = self._bounds().contact_time
         return watch_timeout(
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -27,6 +27,7 @@
 
     # Backend servers.
     BACKENDS_EJECTED = 'backends_ejected'
+    BACKENDS_UNCONFIRMED = 'backends_unconfirmed'
     CONNECTIONS_SILENT = 'connections_silent'
     UPSTREAM_CONNECTIONS = 'upstream_connections'
 
