Send the full rate only to servers that are known not to be cold

Cause: a server counted as warm until the store said otherwise. A daemon that does not reach the store goes on at the full rate, however old its list is, and nothing else tells it: health checks were read by no one.

The limit of cold servers now holds for each server without recent evidence that it is not cold: a list that lacked no change within the last second (two in a large fleet), or a health check of the last second. An entry probes the store when it has heard nothing for half of that time; a failed watch or a heartbeat that tells of a newer change ends the evidence. Servers that requests need beyond the limit are checked directly. Requests sent before a server is known to be cold count against its limit.

--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -5,17 +5,21 @@
 
 from attrs import frozen
 
+from geraniumshelf_core.placement.cold_starts import (
+    count_cold_send,
+    needs_checks,
+)
 from geraniumshelf_core.placement.notices import get_notice
 from geraniumshelf_core.placement.queries import (
-    COLD_WINDOW_NS,
     estimated_load,
-    is_cold,
     is_leaving,
     looks_warm,
+    preferred_servers,
     typical_work,
 )
 from geraniumshelf_core.placement.spills import plan_spills
 from geraniumshelf_core.placement.state import (
+    PlacementRequest,
     PlacementState,
     ServerView,
     TypicalWork,
@@ -175,21 +179,13 @@
     count_cold_send(view, now)
 
 
-def record_send(view: ServerView, now: Nanoseconds) -> None:
-    """Record the time at which a request is sent to a server."""
-    send_times = view.send_times
-    send_times.append(now)
-    while now - send_times[0] > COLD_WINDOW_NS:
-        send_times.popleft()
-
-
-def count_cold_send(view: ServerView, now: Nanoseconds) -> None:
-    """Count a request against the rate limit of a server if it is cold."""
-    if is_cold(view, now):
-        send_times = view.cold_send_times
-        send_times.append(now)
-        while now - send_times[0] > COLD_WINDOW_NS:
-            send_times.popleft()
+def record_need(
+    state: PlacementState, request: PlacementRequest, now: Nanoseconds
+) -> None:
+    """Record which servers a request needs, so that they are checked."""
+    if needs_checks(state, now):
+        for view in preferred_servers(state, request):
+            view.needed_at = now
 
 
 def end_request(
@@ -241,13 +237,6 @@
     view.reported_at = now
 
 
-def record_cold_time(
-    view: ServerView, cold_left: Nanoseconds, now: Nanoseconds
-) -> None:
-    """Record the remaining time of the cold start that a server reported."""
-    view.cold_until = now + cold_left if cold_left else 0
-
-
 def _record_work(
     state: PlacementState,
     view: ServerView,
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -7,10 +7,12 @@
 """
 
 from collections.abc import Iterator
+from itertools import islice
 from math import inf
 from typing import Final
 
 from geraniumshelf_core.membership.ranking import rank_names
+from geraniumshelf_core.placement.cold_starts import may_get_request
 from geraniumshelf_core.placement.notices import is_paused
 from geraniumshelf_core.placement.state import (
     REPORT_DECAY_NS,
@@ -21,8 +23,6 @@
     SpillState,
     TypicalWork,
 )
-from geraniumshelf_core.shares.division import whole_units
-from geraniumshelf_core.shares.whole_shares import count_shares
 from geraniumshelf_core.site.routing import hash_fraction
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 
@@ -40,8 +40,6 @@
 # The slowness of a server halves after each such interval without a response,
 # so that a server that was slow is tried again.
 _SLOWNESS_HALF_LIFE_NS: Final[Nanoseconds] = 2 * SECOND_NS
-# Period over which requests to a cold server are counted.
-COLD_WINDOW_NS: Final[Nanoseconds] = SECOND_NS
 _MAX_RANKINGS: Final = 20_000
 
 
@@ -84,6 +82,15 @@
             yield region
 
 
+def preferred_servers(
+    state: PlacementState, request: PlacementRequest
+) -> Iterator[ServerView]:
+    """Yield the servers of the region that is preferred for a request."""
+    for region in islice(region_order(state, request), 1):
+        for name in state.usable.get((request.service, region), ()):
+            yield state.servers[name]
+
+
 def estimated_load(view: ServerView, now: Nanoseconds) -> float:
     """Return the requests that a server runs and queues, by the last report."""
     if view.reported_at is None:
@@ -112,11 +119,6 @@
     return 1 + (view.slowness - 1) * float(0.5**halvings)
 
 
-def is_cold(view: ServerView, now: Nanoseconds) -> bool:
-    """Return whether a server is in a cold start and has a rate limit."""
-    return view.cold_until > now
-
-
 def is_crowded(
     state: PlacementState, service: str, region: str, now: Nanoseconds
 ) -> bool:
@@ -166,21 +168,6 @@
     return max(view.notice.paused_until, view.ejected_until)
 
 
-def has_cold_capacity(
-    state: PlacementState, view: ServerView, now: Nanoseconds
-) -> bool:
-    """Return whether this daemon may send a cold server another request.
-
-    The limit of a cold server is divided among the daemons of its own region,
-    so daemons of other regions send it none.
-    """
-    if view.region != state.place.region:
-        return False
-    rate = state.cold_rate_per_share.get(view.server.service, 0)
-    recent = sum(now - at <= COLD_WINDOW_NS for at in view.cold_send_times)
-    return recent < whole_units(rate, count_shares(state.whole_shares, now))
-
-
 def _choose_in_region(
     state: PlacementState,
     request: PlacementRequest,
@@ -255,7 +242,7 @@
         return False
     if view.is_unreachable and view.in_flight:
         return False
-    return not is_cold(view, now) or has_cold_capacity(state, view, now)
+    return may_get_request(state, view, now)
 
 
 def _other_regions(state: PlacementState) -> tuple[str, ...]:
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -51,8 +51,12 @@
             request at a time may then try it.
         full_until: Time until which it counts as full.
         cold_until: End of its cold start, 0 for none.
-        cold_send_times: Times at which this daemon sent requests during its
-            cold start.
+        checked_at: Time of the last health check that showed that it is not
+            cold.
+        check_started_at: Time at which the last health check began.
+        needed_at: Last time at which a request needed it while the list of
+            servers was not current.
+        cold_send_times: Times at which this daemon chose it lately.
         send_times: Times at which this daemon sent requests to it lately.
         warm_objects: Objects that it has handled for this daemon, least
             recently used first (an ordered set).
@@ -74,6 +78,9 @@
     is_unreachable: bool = False
     full_until: Nanoseconds = 0
     cold_until: Nanoseconds = 0
+    checked_at: Nanoseconds = -SECOND_NS
+    check_started_at: Nanoseconds = -SECOND_NS
+    needed_at: Nanoseconds = -60 * SECOND_NS
     cold_send_times: deque[Nanoseconds] = field(factory=deque)
     send_times: deque[Nanoseconds] = field(factory=deque)
     warm_objects: dict[str, None] = field(factory=dict)
@@ -132,6 +139,7 @@
             objects change region only in bounded steps.
         list_confirmed_at: Time at which the list of servers was last known to
             lack no change; 0 before the first list.
+        max_list_age: Time for which the list counts as current afterwards.
         policies: The policies in use.
     """
 
@@ -148,6 +156,7 @@
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
     has_placed_requests: bool = False
     list_confirmed_at: Nanoseconds = 0
+    max_list_age: Nanoseconds = SECOND_NS
     policies: Policies = DEFAULT_POLICIES
 
 
--- a/packages/core/src/geraniumshelf_core/presence/freshness.py
+++ b/packages/core/src/geraniumshelf_core/presence/freshness.py
@@ -35,6 +35,10 @@
 _BATCH_INTERVAL_MS: Final = 300
 _BATCH_INTERVAL_NS: Final[Nanoseconds] = _BATCH_INTERVAL_MS * MILLISECOND_NS
 _LARGE_FLEET_BATCH_INTERVAL_NS: Final[Nanoseconds] = SECOND_NS
+# A server that becomes cold may get the full rate for this time from a daemon
+# that has lost contact with the store.
+_LIST_AGE_NS: Final[Nanoseconds] = SECOND_NS
+_LARGE_FLEET_LIST_AGE_NS: Final[Nanoseconds] = 2 * SECOND_NS
 
 
 @define
@@ -86,6 +90,16 @@
     )
 
 
+def max_list_age(state: PresenceState) -> Nanoseconds:
+    """Return how long a list counts as current after it was confirmed.
+
+    The daemons of a large fleet fetch changes less often.
+    """
+    if is_large_fleet(state):
+        return _LARGE_FLEET_LIST_AGE_NS
+    return _LIST_AGE_NS
+
+
 def is_zone_lead(
     state: PresenceState,
     own: PresenceHeartbeat,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/connections.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/connections.py
@@ -1,6 +1,7 @@
 """Keeps idle connections to the backend servers that a platform lists."""
 
 from collections.abc import Callable
+from typing import Final
 
 from attrs import frozen
 from tornado.iostream import IOStream
@@ -11,9 +12,14 @@
     record_loss,
 )
 from geraniumshelf_core.placement.state import ServerView
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.upstream.pool import ConnectionPool
 
+# Three times the longest round trip between regions.
+_CONNECT_TIMEOUT_MS: Final = 300
+CONNECT_TIMEOUT_NS: Final[Nanoseconds] = _CONNECT_TIMEOUT_MS * MILLISECOND_NS
+_MAX_IDLE_CONNECTIONS: Final = 12
+
 
 @frozen
 class AcquiredConnection:
@@ -32,14 +38,11 @@
     """Reuses connections while servers are likely to keep them open.
 
     Args:
-        pool: Idle connections.
         clock: Returns the current time, nanoseconds.
     """
 
-    def __init__(
-        self, pool: ConnectionPool, clock: Callable[[], Nanoseconds]
-    ) -> None:
-        self._pool = pool
+    def __init__(self, clock: Callable[[], Nanoseconds]) -> None:
+        self._pool = ConnectionPool(_MAX_IDLE_CONNECTIONS, CONNECT_TIMEOUT_NS)
         self._clock = clock
         self._state = IdleLimits()
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -10,11 +10,7 @@
 from geraniumshelf_core.presence.commands import update_request_rate
 from geraniumshelf_core.presence.entry_role import EntryRole
 from geraniumshelf_core.presence.state import RequestRate
-from geraniumshelf_core.units import (
-    MILLISECOND_NS,
-    Nanoseconds,
-    ns_to_seconds,
-)
+from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.edge.attempt import AttemptDependencies
 from geraniumshelf_daemon.edge.clock import boot_time
 from geraniumshelf_daemon.edge.connections import ServerConnections
@@ -25,6 +21,7 @@
 )
 from geraniumshelf_daemon.edge.fleet import FleetLink
 from geraniumshelf_daemon.edge.forwarding import ConnectionForwarder
+from geraniumshelf_daemon.edge.health_checks import HealthChecker
 from geraniumshelf_daemon.edge.interface import HeaderCodec, PlatformStore
 from geraniumshelf_daemon.edge.limits import count_daemons, divide_limits
 from geraniumshelf_daemon.edge.listeners import Listeners
@@ -47,16 +44,11 @@
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.observability.metrics import install_metrics
 from geraniumshelf_daemon.observability.prometheus import PrometheusMetrics
-from geraniumshelf_daemon.upstream.pool import ConnectionPool
 
 _TICK_S: Final = 0.25
 # A starting daemon decides its role as soon as it has read the registry. Until
 # it has loaded it refuses callers, so this interval is short.
 _STARTUP_TICK_S: Final = 0.02
-# Three times the longest round trip between regions.
-_CONNECT_TIMEOUT_MS: Final = 300
-_CONNECT_TIMEOUT_NS: Final[Nanoseconds] = _CONNECT_TIMEOUT_MS * MILLISECOND_NS
-_MAX_IDLE_CONNECTIONS: Final = 12
 # Callers learn within this time that the daemon is shutting down; until then it
 # accepts new connections.
 _LEAVE_NOTICE_S: Final = 2.5
@@ -109,9 +101,7 @@
             self._state.quotas.whole_shares,
             self._fleet.own_heartbeat,
         )
-        self._connections = ServerConnections(
-            ConnectionPool(_MAX_IDLE_CONNECTIONS, _CONNECT_TIMEOUT_NS), clock
-        )
+        self._connections = ServerConnections(clock)
         relay = Relay(
             self._state,
             AttemptDependencies(
@@ -152,6 +142,7 @@
             ),
             FrontServer(MetricsPage(metrics).serve, _INITIAL_IDLE_TIMEOUT_S),
         )
+        self._health_checker = HealthChecker(self._state, codec, clock)
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._spills = SpillController(
@@ -170,7 +161,7 @@
         workers = self._fleet.create_background_tasks(
             self._store, self._entry_role
         )
-        for worker in (*workers, self._tick):
+        for worker in (*workers, self._health_checker.run, self._tick):
             self._tasks.append(asyncio.create_task(run_with_restart(worker)))
         log_event(Event.DAEMON_STARTED, settings.name, zone=settings.zone)
 
@@ -252,9 +243,7 @@
             self._store_follower.renew_outdated(
                 self._watch_policy.has_missed, now
             )
-            self._store_follower.confirm_servers(
-                self._watch_policy.is_behind, now
-            )
+            self._store_follower.confirm_servers(now)
             self._fleet.heartbeats.update_store_report(
                 self._store_follower.build_report(now)
             )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -7,12 +7,12 @@
 from typing import Final
 
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
+from geraniumshelf_core.placement.cold_starts import record_send
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
     end_request,
     record_report,
-    record_send,
 )
 from geraniumshelf_core.placement.queries import typical_work
 from geraniumshelf_core.placement.state import Candidate
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -10,14 +10,16 @@
     decide_admission,
 )
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
-from geraniumshelf_core.placement.commands import (
+from geraniumshelf_core.placement.cold_starts import (
     count_cold_send,
+    may_get_request,
+)
+from geraniumshelf_core.placement.commands import (
     eject_if_silent,
+    record_need,
 )
 from geraniumshelf_core.placement.queries import (
     choose_server,
-    has_cold_capacity,
-    is_cold,
     is_crowded,
     is_still_eligible,
     time_until_available,
@@ -116,6 +118,7 @@
             request.service, request.object_name, request.regions, excluded
         )
         placement = self._state.placement
+        record_need(placement, query, now)
         choice = choose_server(placement, query, now)
         verdict = decide_admission(
             choice,
@@ -164,11 +167,9 @@
         if not is_still_eligible(placement, choice.view, now):
             raise _ineligible_server(choice, 'may receive no more requests')
         if now - chosen_at > _COLD_COUNT_NS:
-            if is_cold(choice.view, now) and not has_cold_capacity(
-                placement, choice.view, now
-            ):
+            if not may_get_request(placement, choice.view, now):
                 raise _ineligible_server(
-                    choice, 'is cold and may receive no request now'
+                    choice, 'may be cold and receive no request now'
                 )
             count_cold_send(choice.view, now)
         if progress.attempts or now - chosen_at <= _TOKEN_LIFETIME_NS:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/sinks.py
@@ -10,12 +10,15 @@
     is_outdated,
     record_former_server,
 )
+from geraniumshelf_core.placement.cold_starts import (
+    confirm_list,
+    count_recent_sends,
+)
 from geraniumshelf_core.placement.commands import (
     put_server,
     remove_server,
     set_evacuated,
 )
-from geraniumshelf_core.placement.confirmation import count_recent_sends
 from geraniumshelf_core.placement.state import PlacementState
 from geraniumshelf_core.site.model import (
     ListedServer,
@@ -103,6 +106,7 @@
         missing = self._placement.servers.keys() - view.records.keys()
         self._handle_missing(missing, now)
         self.change(view, now)
+        confirm_list(self._placement, now)
         self._state.has_servers = True
 
     def change(self, view: RecordSet, now: Nanoseconds) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_follower.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_follower.py
@@ -6,11 +6,11 @@
 from typing import Final
 
 from geraniumshelf_core.history.eras import StoreRevision
-from geraniumshelf_core.placement.commands import clear_servers
-from geraniumshelf_core.placement.confirmation import (
+from geraniumshelf_core.placement.cold_starts import (
     confirm_list,
     is_list_current,
 )
+from geraniumshelf_core.placement.commands import clear_servers
 from geraniumshelf_core.presence.state import StoreReport
 from geraniumshelf_core.presence.versions import begin_loading
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
@@ -114,21 +114,11 @@
             if has_missed(kind_index, watcher.seen_revision):
                 watcher.renew(now)
 
-    def confirm_servers(
-        self,
-        is_behind: Callable[[int, StoreRevision], bool],
-        now: Nanoseconds,
-    ) -> None:
-        """Update until when the list of servers was known to be complete.
-
-        Args:
-            is_behind: Returns whether another daemon knows of a newer change,
-                for the index of the kind in ``changes`` and the revision up to
-                which all changes are known here.
-            now: Current time.
-        """
+    def confirm_servers(self, now: Nanoseconds) -> None:
+        """Update until when the list of servers was known to be complete."""
         placement = self._state.placement
-        confirmed_at = self._servers_confirmed_at(is_behind)
+        placement.max_list_age = self._rules.max_list_age()
+        confirmed_at = self._servers_confirmed_at()
         if confirmed_at is not None:
             confirm_list(placement, confirmed_at)
         is_current = is_list_current(placement, now)
@@ -142,9 +132,7 @@
             count_metric(Metric.BACKENDS_UNCONFIRMED)
             log_event(Event.BACKENDS_UNCONFIRMED, age_ms=age_ms)
 
-    def _servers_confirmed_at(
-        self, is_behind: Callable[[int, StoreRevision], bool]
-    ) -> Nanoseconds | None:
+    def _servers_confirmed_at(self) -> Nanoseconds | None:
         if not self._watchers:
             return None
         watcher = self._watchers[_SERVERS_INDEX]
@@ -154,7 +142,7 @@
             confirmed_at is None
             or last_response_at is None
             or watcher.is_disconnected
-            or is_behind(_SERVERS_INDEX, watcher.seen_revision)
+            or self._rules.is_behind(_SERVERS_INDEX, watcher.seen_revision)
         ):
             return confirmed_at
         return max(confirmed_at, last_response_at)
@@ -211,11 +199,12 @@
             self._availability,
             self._clock,
             self._random,
-            self._rules.is_prober,
+            self._rules,
         )
-        await probe.run(lambda: self.is_disconnected, self._retry_disconnected)
+        await probe.run(lambda: self.is_disconnected, self._record_contact)
 
-    def _retry_disconnected(self, answered_request_at: Nanoseconds) -> None:
+    def _record_contact(self, answered_request_at: Nanoseconds) -> None:
+        self.confirm_servers(self._clock())
         for watcher in self._watchers:
             if watcher.is_disconnected:
                 watcher.retry(answered_request_at)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_probe.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_probe.py
@@ -1,16 +1,18 @@
-"""Probes a store that does not respond until it does."""
+"""Probes the store to know whether it responds."""
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 from typing import Final
 
 from geraniumshelf_core.errors import PlatformError
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.edge.interface import PlatformStore, RecordKind
 from geraniumshelf_daemon.edge.store_availability import (
     StoreAvailabilityTracker,
 )
+from geraniumshelf_daemon.edge.watcher import WatchRules
 from geraniumshelf_daemon.observability.events import Event, log_event
 
 # A daemon has contact_s, 3 s or more, to learn what it has missed.
@@ -18,10 +20,12 @@
 # Daemons that are not the prober of their zone probe less often, to spare a
 # store in trouble.
 _SECONDARY_PROBE_INTERVAL_S: Final = 1.0
+# A list counts as current for this many intervals of probes.
+_PROBES_PER_LIST_AGE: Final = 2
 
 
 class StoreProbe:
-    """Detects early that the store responds again.
+    """Detects early that the store no longer responds, or does so again.
 
     A call that is lost on the way ends only at its timeout. Probes are
     therefore sent at intervals without waiting for earlier responses, and
@@ -32,7 +36,7 @@
         availability: Receives that the store responds.
         clock: Returns the current time, nanoseconds.
         random: Adds jitter, so that daemons do not call at the same time.
-        is_prober: Returns whether this daemon probes at the short interval.
+        rules: Intervals between calls.
     """
 
     def __init__(
@@ -41,13 +45,13 @@
         availability: StoreAvailabilityTracker,
         clock: Callable[[], Nanoseconds],
         random: Random,
-        is_prober: Callable[[], bool],
+        rules: WatchRules,
     ) -> None:
         self._store = store
         self._availability = availability
         self._clock = clock
         self._random = random
-        self._is_prober = is_prober
+        self._rules = rules
         self._probes: set[asyncio.Task[None]] = set()
 
     async def run(
@@ -55,7 +59,7 @@
         is_disconnected: Callable[[], bool],
         on_response: Callable[[Nanoseconds], None],
     ) -> None:
-        """Send probes while they are needed, until the task is cancelled.
+        """Send probes when they are needed, until the task is cancelled.
 
         Args:
             is_disconnected: Returns whether a watch has lost the store.
@@ -63,22 +67,43 @@
         """
         try:
             while True:
-                await self._availability.wait_for_failure()
-                await asyncio.sleep(self._interval_s() * self._random.random())
+                await self._wait_until_due()
+                self._start_probe(on_response)
                 while is_disconnected():
-                    probe = asyncio.create_task(self._send_probe(on_response))
-                    self._probes.add(probe)
-                    probe.add_done_callback(self._probes.discard)
                     jitter = 1 + self._random.random()
-                    await asyncio.sleep(self._interval_s() * jitter)
+                    await asyncio.sleep(self._retry_interval_s() * jitter)
+                    self._start_probe(on_response)
         finally:
             for probe in self._probes:
                 probe.cancel()
 
-    def _interval_s(self) -> float:
+    async def _wait_until_due(self) -> None:
+        """Wait until a call fails or the last response is too long ago."""
+        wait_s = self._contact_interval_s()
+        last_response_at = self._availability.last_response_at
+        if last_response_at is not None:
+            age_s = ns_to_seconds(self._clock() - last_response_at)
+            if age_s < wait_s:
+                wait_s -= age_s
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._availability.wait_for_failure()
+                jitter = self._random.random()
+                await asyncio.sleep(self._retry_interval_s() * jitter)
+
+    def _start_probe(self, on_response: Callable[[Nanoseconds], None]) -> None:
+        probe = asyncio.create_task(self._send_probe(on_response))
+        self._probes.add(probe)
+        probe.add_done_callback(self._probes.discard)
+
+    def _contact_interval_s(self) -> float:
+        age_s = ns_to_seconds(self._rules.max_list_age())
+        return age_s / _PROBES_PER_LIST_AGE
+
+    def _retry_interval_s(self) -> float:
         return (
             _PROBE_INTERVAL_S
-            if self._is_prober()
+            if self._rules.is_prober()
             else _SECONDARY_PROBE_INTERVAL_S
         )
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
@@ -8,6 +8,7 @@
     has_missed_changes,
     is_newer_change_known,
     is_prober,
+    max_list_age,
     watch_timeout,
 )
 from geraniumshelf_core.presence.state import PresenceHeartbeat, PresenceState
@@ -46,7 +47,11 @@
     def rules(self) -> WatchRules:
         """Return the timeouts and intervals of the watches."""
         return WatchRules(
-            self._watch_timeout, self._is_prober, self._batch_interval
+            self._watch_timeout,
+            self._is_prober,
+            self._batch_interval,
+            self._is_behind,
+            self._max_list_age,
         )
 
     def has_missed(self, kind: int, seen_revision: StoreRevision) -> bool:
@@ -60,13 +65,7 @@
             self._presence, self._own_heartbeat(), kind, seen_revision
         )
 
-    def is_behind(self, kind: int, seen_revision: StoreRevision) -> bool:
-        """Return whether any other daemon knows of a newer change.
-
-        Args:
-            kind: Index of the kind in ``changes`` of a heartbeat.
-            seen_revision: Revision up to which all changes are known here.
-        """
+    def _is_behind(self, kind: int, seen_revision: StoreRevision) -> bool:
         return is_newer_change_known(self._presence, kind, seen_revision)
 
     def _watch_timeout(self, now: Nanoseconds) -> Nanoseconds:
@@ -78,5 +77,8 @@
     def _batch_interval(self) -> Nanoseconds:
         return change_batch_interval(self._presence)
 
+    def _max_list_age(self) -> Nanoseconds:
+        return max_list_age(self._presence)
+
     def _is_prober(self) -> bool:
         return is_prober(self._presence, self._own_heartbeat())
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watcher.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watcher.py
@@ -62,11 +62,18 @@
         watch_timeout: Returns how long a watch may wait at a given time.
         is_prober: Returns whether this daemon often probes a failing store.
         batch_interval: Returns the time whose changes are fetched together.
+        is_behind: Returns whether another daemon knows of a newer change, for
+            the index of the kind in ``changes`` of a heartbeat and the revision
+            up to which all changes are known here.
+        max_list_age: Returns how long a list counts as current after the store
+            has responded.
     """
 
     watch_timeout: Callable[[Nanoseconds], Nanoseconds]
     is_prober: Callable[[], bool]
     batch_interval: Callable[[], Nanoseconds]
+    is_behind: Callable[[int, StoreRevision], bool]
+    max_list_age: Callable[[], Nanoseconds]
 
 
 class Watcher:
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -28,6 +28,7 @@
     # Backend servers.
     BACKENDS_EJECTED = 'backends_ejected'
     BACKENDS_UNCONFIRMED = 'backends_unconfirmed'
+    HEALTH_CHECKS = 'health_checks'
     CONNECTIONS_SILENT = 'connections_silent'
     UPSTREAM_CONNECTIONS = 'upstream_connections'
 
--- a/tests/core/placement/harness.py
+++ b/tests/core/placement/harness.py
@@ -1,6 +1,7 @@
 """Servers and placement states for tests of the placement."""
 
 from geraniumshelf_core.dispatch.state import Place
+from geraniumshelf_core.placement.cold_starts import confirm_list
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
@@ -19,6 +20,8 @@
 _REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b', 'b2': 'b'}
 WORK = 100 * MILLISECOND_NS
 NOW = 100 * SECOND_NS
+# The daemon is in contact with the store for longer than any test.
+_CONTACT_NS = 3600 * SECOND_NS
 
 
 def server(name: str, zone: str, slots: int = 2) -> ListedServer:
@@ -34,6 +37,7 @@
         slots: Slots of each server.
     """
     state = PlacementState(Place('a1', 'a'), _REGIONS)
+    confirm_list(state, NOW + _CONTACT_NS)
     for name, zone in zones.items():
         put_server(state, server(name, zone, slots), NOW)
     return state
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -9,6 +9,7 @@
     server,
 )
 
+from geraniumshelf_core.placement.cold_starts import has_cold_capacity
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
@@ -19,10 +20,7 @@
     remove_server,
     set_evacuated,
 )
-from geraniumshelf_core.placement.queries import (
-    choose_server,
-    has_cold_capacity,
-)
+from geraniumshelf_core.placement.queries import choose_server
 from geraniumshelf_core.placement.state import (
     PlacementRequest,
 )
--- a/tests/core/placement/test_notices.py
+++ b/tests/core/placement/test_notices.py
@@ -2,6 +2,7 @@
 
 from geraniumshelf_core.admission.verdict import Rejected, decide_admission
 from geraniumshelf_core.dispatch.state import Place
+from geraniumshelf_core.placement.cold_starts import confirm_list
 from geraniumshelf_core.placement.commands import (
     put_server,
     rebuild_usable,
@@ -29,6 +30,7 @@
 
 def _state(*names: str) -> PlacementState:
     state = PlacementState(Place('a1', 'a'), {'a1': 'a'})
+    confirm_list(state, _NOW + 3600 * SECOND_NS)
     for name in names:
         server = ListedServer(name, 'desk', 'h:1', 'a1', 2, started_at_ms=1)
         put_server(state, server, _NOW)
--- a/tests/daemon/edge/follower_harness.py
+++ b/tests/daemon/edge/follower_harness.py
@@ -137,6 +137,7 @@
             self._store_follower.renew_outdated(
                 self._watch_policy.has_missed, now
             )
+            self._store_follower.confirm_servers(now)
             self._heartbeats.update_store_report(
                 self._store_follower.build_report(now)
             )
--- a/tests/daemon/edge/test_cold_servers.py
+++ b/tests/daemon/edge/test_cold_servers.py
@@ -14,11 +14,11 @@
     sleep_until,
 )
 
+from geraniumshelf_core.placement.cold_starts import record_send
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
     end_request,
-    record_send,
 )
 from geraniumshelf_core.placement.queries import choose_server
 from geraniumshelf_core.placement.state import PlacementRequest
@@ -84,7 +84,7 @@
 def test_daemons_that_do_not_reach_the_store_flood_no_cold_server(
     cut_daemons: tuple[str, ...],
 ) -> None:
-    """Guard against the full rate from daemons that cannot know of a cold start.
+    """Guard against the full rate from daemons that miss a cold start.
 
     The store reports that a server has become cold only to the daemons that
     reach it.
--- a/tests/daemon/edge/test_server_selection.py
+++ b/tests/daemon/edge/test_server_selection.py
@@ -12,6 +12,7 @@
 
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
+from geraniumshelf_core.placement.cold_starts import confirm_list
 from geraniumshelf_core.placement.commands import (
     put_server,
     remove_server,
@@ -62,6 +63,7 @@
     def __init__(self) -> None:
         self.now = _START
         placement = PlacementState(Place('a1', 'a'), {'a1': 'a'})
+        confirm_list(placement, _START + 3600 * SECOND_NS)
         quotas = AccountQuotas(0, 0, 5, started_at=_START)
         divide_quotas(quotas, (_ACCOUNT,), 1, _START)
         self.state = EdgeState(placement, quotas, RetryShares(0, 0, 1))
--- a/tests/daemon/edge/test_standby.py
+++ b/tests/daemon/edge/test_standby.py
@@ -42,7 +42,13 @@
     'me', 'a1', {'a1': 'a'}, '', 0.4, '', '', '', 0, (), '', '', BOUNDS
 )
 
-_RULES = WatchRules(lambda _now: SECOND_NS, lambda: True, lambda: SECOND_NS)
+_RULES = WatchRules(
+    lambda _now: SECOND_NS,
+    lambda: True,
+    lambda: SECOND_NS,
+    lambda _kind, _seen: False,
+    lambda: SECOND_NS,
+)
 
 
 class _Store:
--- a/tests/daemon/edge/test_watcher.py
+++ b/tests/daemon/edge/test_watcher.py
@@ -26,13 +26,19 @@
 _TICK_S = 0.25
 _AVAILABILITY = StoreAvailabilityTracker(PresenceState('me'), lambda: BOUNDS)
 _RULES = WatchRules(
-    lambda _now: 25 * SECOND_NS, lambda: False, lambda: SECOND_NS
+    lambda _now: 25 * SECOND_NS,
+    lambda: False,
+    lambda: SECOND_NS,
+    lambda _kind, _seen: False,
+    lambda: SECOND_NS,
 )
 # The daemon whose heartbeats announce changes to this one is lost after 2 s.
 _LEAD_LOST_RULES = WatchRules(
     lambda now: (25 if now < 2 * SECOND_NS else 3) * SECOND_NS,
     lambda: True,
     lambda: SECOND_NS,
+    lambda _kind, _seen: False,
+    lambda: SECOND_NS,
 )
 
 
--- a/tests/platform/server_standin.py
+++ b/tests/platform/server_standin.py
@@ -8,6 +8,7 @@
 
 _HEAD_END = b'\r\n\r\n'
 _SERVICE_UNAVAILABLE = 503
+_HEALTH_PATH = '/health'
 
 
 @define
@@ -35,6 +36,7 @@
         is_leaving: Whether its responses announce that it leaves.
         retry_after: ``Retry-After`` of its rejections, empty for none.
         is_full: Whether it rejects all requests.
+        cold_ms: Time for which it reports in health checks that it stays cold.
         aborted_count: Number of requests whose connection the daemon closed
             before their response.
         address: IP address and port that it listens on.
@@ -49,6 +51,7 @@
     is_leaving: bool = False
     retry_after: str = ''
     is_full: bool = False
+    cold_ms: int = 0
     aborted_count: int = 0
     address: str = ''
     _in_flight: int = 0
@@ -109,6 +112,8 @@
     async def _handle(
         self, request: ReceivedRequest, reader: asyncio.StreamReader
     ) -> bytes:
+        if request.target == _HEALTH_PATH:
+            return self._build_health_response()
         expected = request.headers.get('x-expect-instance', self.name)
         if expected != self.name:
             return self._build_response(421, request, b'', was_run=False)
@@ -136,6 +141,13 @@
             200, request, request.target.encode(), was_run=True
         )
 
+    def _build_health_response(self) -> bytes:
+        cold = f'X-Cold-Ms: {self.cold_ms}\r\n' if self.cold_ms else ''
+        return (
+            f'HTTP/1.1 200 x\r\nX-Instance-Id: {self.name}\r\n'
+            f'{cold}Content-Length: 0\r\n\r\n'
+        ).encode()
+
     def _build_response(
         self,
         status: int,
--- a/tools/emulator/daemons.py
+++ b/tools/emulator/daemons.py
@@ -11,6 +11,7 @@
     decide_admission,
 )
 from geraniumshelf_core.dispatch.state import Place
+from geraniumshelf_core.placement.cold_starts import confirm_list
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
@@ -36,6 +37,7 @@
 from geraniumshelf_core.site.model import ListedServer
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
+    SECOND_NS,
     Nanoseconds,
     seconds_to_ns,
 )
@@ -51,6 +53,9 @@
 # allowance, as with the bounds of the daemon.
 _COLD_RATE_FACTOR: Final = 1.5
 _COLD_RATE_ALLOWANCE: Final = 5
+# Longer than any experiment.
+_EMULATED_CONTACT_S: Final = 3600
+_EMULATED_CONTACT_NS: Final[Nanoseconds] = _EMULATED_CONTACT_S * SECOND_NS
 
 
 def zone_name(zone: int) -> str:
@@ -216,6 +221,8 @@
         regions,
         policies=experiment.policies,
     )
+    # The emulated daemons learn of cold starts without delay.
+    confirm_list(state, _EMULATED_CONTACT_NS)
     daemons_per_region = experiment.zones * experiment.daemons
     for service in experiment.services:
         limit = service.cold_per_s * _COLD_RATE_FACTOR + _COLD_RATE_ALLOWANCE
