Count requests to a cold server when they are sent

A cold server could get two shares of its limit from one daemon in one second.

Cause: a request counted when its server was chosen, and again only if the connection took longer than 400 ms to open. Three requests that are sent 300 ms after the choice are forgotten 700 ms after they were sent. On the code before, the choice is allowed again 0.8 s after the three requests of a share of three were sent.

A choice now reserves a place until the connection is open; then the request is counted, and checked against the requests that were really sent. test_slow_connections_carry_no_extra_requests_to_a_cold_server guards it; it uses functions that the code before lacks.

--- a/packages/core/src/geraniumshelf_core/placement/cold_starts.py
+++ b/packages/core/src/geraniumshelf_core/placement/cold_starts.py
@@ -7,6 +7,8 @@
 the limit of cold servers applies to it.
 """
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Final
 
 from geraniumshelf_core.placement.state import PlacementState, ServerView
@@ -71,24 +73,36 @@
     The limit of a cold server is divided among the daemons of its own region,
     so daemons of other regions send it none.
     """
-    return _count_sends(view, now) < _cold_share(state, view, now)
+    used = count_recent_sends(view, now) + view.reserved_sends
+    return used < _cold_share(state, view, now)
 
 
-def record_send(view: ServerView, now: Nanoseconds) -> None:
-    """Record the time at which a request is sent to a server."""
-    send_times = view.send_times
-    send_times.append(now)
-    while now - send_times[0] > COLD_WINDOW_NS:
-        send_times.popleft()
+def is_send_allowed(
+    state: PlacementState, view: ServerView, now: Nanoseconds
+) -> bool:
+    """Return whether a request may be sent now, once a connection is open."""
+    if may_get_full_rate(state, view, now):
+        return True
+    return count_recent_sends(view, now) < _cold_share(state, view, now)
 
 
-def count_cold_send(view: ServerView, now: Nanoseconds) -> None:
-    """Count a request against the rate limit of a server.
+@contextmanager
+def reserved_send(view: ServerView) -> Iterator[None]:
+    """Reserve a place under the limit while a connection is opened."""
+    view.reserved_sends += 1
+    try:
+        yield
+    finally:
+        view.reserved_sends -= 1
+
+
+def record_send(view: ServerView, now: Nanoseconds) -> None:
+    """Count a request that is sent to a server against its limit.
 
     Requests to a server that is not cold count, too, as it may have become
     cold since they were sent.
     """
-    send_times = view.cold_send_times
+    send_times = view.send_times
     send_times.append(now)
     while now - send_times[0] > COLD_WINDOW_NS:
         send_times.popleft()
@@ -152,7 +166,7 @@
     if now - view.check_started_at < _CHECK_INTERVAL_NS:
         return False
     enough = _CHECK_FRACTION * _cold_share(state, view, now)
-    if _count_sends(view, now) < enough:
+    if count_recent_sends(view, now) < enough:
         return False
     return not may_get_full_rate(state, view, now + _CHECK_LEAD_NS)
 
@@ -165,7 +179,3 @@
         return 0
     rate = state.cold_rate_per_share.get(view.server.service, 0)
     return whole_units(rate, count_shares(state.whole_shares, now))
-
-
-def _count_sends(view: ServerView, now: Nanoseconds) -> int:
-    return sum(now - at <= COLD_WINDOW_NS for at in view.cold_send_times)
--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -5,10 +5,7 @@
 
 from attrs import frozen
 
-from geraniumshelf_core.placement.cold_starts import (
-    count_cold_send,
-    needs_checks,
-)
+from geraniumshelf_core.placement.cold_starts import needs_checks
 from geraniumshelf_core.placement.notices import get_notice
 from geraniumshelf_core.placement.queries import (
     estimated_load,
@@ -170,13 +167,10 @@
         )
 
 
-def begin_request(
-    state: PlacementState, view: ServerView, now: Nanoseconds
-) -> None:
-    """Record that a request is sent to a server."""
+def begin_request(state: PlacementState, view: ServerView) -> None:
+    """Record that a server was chosen for a request."""
     state.has_placed_requests = True
     view.in_flight += 1
-    count_cold_send(view, now)
 
 
 def record_need(
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -56,8 +56,8 @@
         check_started_at: Time at which the last health check began.
         needed_at: Last time at which a request needed it while the list of
             servers was not current.
-        cold_send_times: Times at which this daemon chose it lately.
         send_times: Times at which this daemon sent requests to it lately.
+        reserved_sends: Requests for which this daemon opens a connection to it.
         warm_objects: Objects that it has handled for this daemon, least
             recently used first (an ordered set).
         idle_time: Keep-alive timeout that it announced, ``None`` if it
@@ -81,8 +81,8 @@
     checked_at: Nanoseconds = -SECOND_NS
     check_started_at: Nanoseconds = -SECOND_NS
     needed_at: Nanoseconds = -60 * SECOND_NS
-    cold_send_times: deque[Nanoseconds] = field(factory=deque)
     send_times: deque[Nanoseconds] = field(factory=deque)
+    reserved_sends: int = 0
     warm_objects: dict[str, None] = field(factory=dict)
     idle_time: Nanoseconds | None = None
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
-from geraniumshelf_core.placement.cold_starts import record_send
+from geraniumshelf_core.placement.cold_starts import record_send, reserved_send
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
@@ -187,7 +187,7 @@
     ) -> tuple[ServerAttempt, ServerResponse]:
         view, placement = choice.view, self._state.placement
         attempt = ServerAttempt(self._shared, request, view, upload)
-        begin_request(placement, view, self._clock())
+        begin_request(placement, view)
         outcome = Outcome()
         response: ServerResponse | None = None
         try:
@@ -216,8 +216,9 @@
         progress: RequestProgress,
     ) -> tuple[ServerResponse, Outcome]:
         chosen_at = self._clock()
-        await attempt.connect(caller)
-        self._selector.confirm(request, choice, progress, chosen_at)
+        with reserved_send(choice.view):
+            await attempt.connect(caller)
+            self._selector.confirm(request, choice, progress, chosen_at)
         progress.attempts += 1
         progress.ran = Ran.UNKNOWN
         sent_at = self._clock()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -10,10 +10,7 @@
     decide_admission,
 )
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
-from geraniumshelf_core.placement.cold_starts import (
-    count_cold_send,
-    may_get_request,
-)
+from geraniumshelf_core.placement.cold_starts import is_send_allowed
 from geraniumshelf_core.placement.commands import (
     eject_if_silent,
     record_need,
@@ -54,10 +51,6 @@
 # A connection opens or fails in less time. If more has passed since a server
 # was chosen, the daemon was suspended and the token bucket has refilled.
 _TOKEN_LIFETIME_NS: Final[Nanoseconds] = SECOND_NS
-# A request counts against the rate limit of a cold server in the second in
-# which it arrives there; a connection opens in less time than this.
-_COLD_COUNT_MS: Final = 400
-_COLD_COUNT_NS: Final[Nanoseconds] = _COLD_COUNT_MS * MILLISECOND_NS
 
 
 class ServerSelector:
@@ -166,12 +159,10 @@
         placement = self._state.placement
         if not is_still_eligible(placement, choice.view, now):
             raise _ineligible_server(choice, 'may receive no more requests')
-        if now - chosen_at > _COLD_COUNT_NS:
-            if not may_get_request(placement, choice.view, now):
-                raise _ineligible_server(
-                    choice, 'may be cold and receive no request now'
-                )
-            count_cold_send(choice.view, now)
+        if not is_send_allowed(placement, choice.view, now):
+            raise _ineligible_server(
+                choice, 'may be cold and receive no request now'
+            )
         if progress.attempts or now - chosen_at <= _TOKEN_LIFETIME_NS:
             return
         if not take_token(self._state.quotas, request.account_name, now):
--- a/tests/core/placement/harness.py
+++ b/tests/core/placement/harness.py
@@ -1,7 +1,7 @@
 """Servers and placement states for tests of the placement."""
 
 from geraniumshelf_core.dispatch.state import Place
-from geraniumshelf_core.placement.cold_starts import confirm_list
+from geraniumshelf_core.placement.cold_starts import confirm_list, record_send
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
@@ -52,5 +52,6 @@
 
 def serve(state: PlacementState, view: ServerView, name: str, now: int) -> None:
     """Record a request for an object and its response by a server."""
-    begin_request(state, view, now)
+    begin_request(state, view)
+    record_send(view, now)
     end_request(state, view, Outcome(work=WORK, object_name=name), now)
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -9,7 +9,10 @@
     server,
 )
 
-from geraniumshelf_core.placement.cold_starts import has_cold_capacity
+from geraniumshelf_core.placement.cold_starts import (
+    has_cold_capacity,
+    record_send,
+)
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
@@ -63,10 +66,10 @@
     state = make_state({'s1': 'a1', 's2': 'a1'})
     home = state.servers[chosen(state, 'x')]
     for _ in range(2):
-        begin_request(state, home, NOW)
+        begin_request(state, home)
     assert chosen(state, 'x') == home.server.name
     for _ in range(10):
-        begin_request(state, home, NOW)
+        begin_request(state, home)
     assert chosen(state, 'x') != home.server.name
 
 
@@ -77,7 +80,7 @@
     (second,) = (view for view in state.servers.values() if view is not home)
     serve(state, second, 'x', NOW)
     for _ in range(3):
-        begin_request(state, home, NOW)
+        begin_request(state, home)
     assert chosen(state, 'x') == second.server.name
 
 
@@ -95,7 +98,7 @@
     state = make_state({'s1': 'a1', 's2': 'a1'})
     home = state.servers[chosen(state, 'x')]
     for _ in range(20):
-        begin_request(state, home, NOW)
+        begin_request(state, home)
         slow = Outcome(work=10 * WORK, object_name='x')
         end_request(state, home, slow, NOW)
     assert chosen(state, 'x') != home.server.name
@@ -106,12 +109,12 @@
     """Requests for an object must not all wait for a dead server."""
     state = make_state({'s1': 'a1', 's2': 'a1'})
     home = state.servers[chosen(state, 'x')]
-    begin_request(state, home, NOW)
+    begin_request(state, home)
     end_request(state, home, Outcome(is_failure=True, is_unreachable=True), NOW)
     assert chosen(state, 'x') != home.server.name
     later = NOW + 2 * SECOND_NS
     assert chosen(state, 'x', later) == home.server.name
-    begin_request(state, home, later)
+    begin_request(state, home)
     assert chosen(state, 'x', later) != home.server.name
 
 
@@ -120,7 +123,7 @@
     state = make_state({f's{number}': 'a1' for number in range(6)})
     for view in state.servers.values():
         for _ in range(10):
-            begin_request(state, view, NOW)
+            begin_request(state, view)
             end_request(state, view, Outcome(is_failure=True), NOW)
     ejected = [view for view in state.servers.values() if view.ejected_until]
     assert len(ejected) == 2
@@ -130,7 +133,7 @@
     """A single slow request does not mean that the server is unresponsive."""
     state = make_state({f's{number}': 'a1' for number in range(3)})
     view = state.servers['s1']
-    begin_request(state, view, NOW)
+    begin_request(state, view)
     serve(state, view, 'y', NOW + SECOND_NS)
     eject_if_silent(state, view, NOW, NOW + 2 * SECOND_NS)
     assert not view.ejected_until
@@ -148,7 +151,8 @@
     for step in range(100):
         now = NOW + step * 10 * MILLISECOND_NS
         if has_cold_capacity(state, view, now):
-            begin_request(state, view, now)
+            begin_request(state, view)
+            record_send(view, now)
             sent += 1
     assert sent == 3
 
--- a/tests/core/placement/test_spills.py
+++ b/tests/core/placement/test_spills.py
@@ -29,7 +29,7 @@
     state.policies = Policies(spills_by_load=True)
     view = state.servers['s1']
     for _ in range(10):
-        begin_request(state, view, NOW)
+        begin_request(state, view)
     spill = state.spills['desk']
     fractions = []
     for _ in range(30):
@@ -44,7 +44,7 @@
     """Spilled objects are cold in the other region and overload it as well."""
     state = make_state({'s1': 'a1', 't1': 'b1'})
     for _ in range(10):
-        begin_request(state, state.servers['s1'], NOW)
+        begin_request(state, state.servers['s1'])
     for _ in range(30):
         adjust_spills(state, 0.01, NOW)
     assert state.spills['desk'].fraction == 0
@@ -54,7 +54,7 @@
     """A jump would exceed the permitted fraction of moved requests."""
     zones = {'s1': 'a1', 's2': 'a1', 't1': 'b1', 't2': 'b1'}
     state = make_state(zones)
-    begin_request(state, state.servers['s1'], NOW)
+    begin_request(state, state.servers['s1'])
     remove_server(state, 's2')
     spill = state.spills['desk']
     fractions = [spill.fraction]
--- a/tests/core/placement/test_work.py
+++ b/tests/core/placement/test_work.py
@@ -25,7 +25,7 @@
     warm, cold = SECOND_NS * 0.4, SECOND_NS * 1.3
     for number in range(400):
         work = round(cold if number % 10 == 0 else warm)
-        begin_request(state, view, NOW)
+        begin_request(state, view)
         outcome = Outcome(work=work, object_name=f'{number}')
         end_request(state, view, outcome, NOW)
     assert typical_work(state, 'desk').cold > 0.8 * cold
@@ -38,7 +38,7 @@
     set_initial_work(state, 'desk', 3 * SECOND_NS)
     assert typical_work(state, 'desk').cold > 3 * SECOND_NS
     view = state.servers['s1']
-    begin_request(state, view, NOW)
+    begin_request(state, view)
     end_request(state, view, Outcome(work=SECOND_NS, object_name='x'), NOW)
     average = typical_work(state, 'desk').cold
     assert SECOND_NS < average < 4 * SECOND_NS
--- a/tests/daemon/edge/test_cold_servers.py
+++ b/tests/daemon/edge/test_cold_servers.py
@@ -42,7 +42,7 @@
         now = clock()
         choice = choose_server(placement, PlacementRequest('desk', 'o'), now)
         if choice is not None:
-            begin_request(placement, choice.view, now)
+            begin_request(placement, choice.view)
             record_send(choice.view, now)
             sent.append(now / SECOND_NS)
             end_request(placement, choice.view, Outcome(work=1), now)
--- a/tests/daemon/edge/test_server_selection.py
+++ b/tests/daemon/edge/test_server_selection.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from contextlib import ExitStack
 from random import Random
 
 import pytest
@@ -12,7 +13,12 @@
 
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
-from geraniumshelf_core.placement.cold_starts import confirm_list
+from geraniumshelf_core.placement.cold_starts import (
+    confirm_list,
+    has_cold_capacity,
+    record_send,
+    reserved_send,
+)
 from geraniumshelf_core.placement.commands import (
     put_server,
     remove_server,
@@ -72,6 +78,16 @@
         self.progress = RequestProgress()
         self._selector = ServerSelector(self.state, lambda: self.now, Random(1))
 
+    def has_capacity(self) -> bool:
+        """Return whether a cold server may be chosen now."""
+        return has_cold_capacity(self.state.placement, self.view, self.now)
+
+    def send(self) -> None:
+        """Check and send a request whose connection is open."""
+        with reserved_send(self.view):
+            self.confirm(self.now)
+        record_send(self.view, self.now)
+
     def confirm(self, chosen_at: int = _START) -> None:
         """Check token and server as a daemon does before it sends a request."""
         request = RoutedRequest(
@@ -142,9 +158,33 @@
     selected.now += 3 * SECOND_NS
     selected.progress.attempts = 1
     for _ in range(3):
-        selected.confirm()
+        selected.send()
     with pytest.raises(AttemptFailed):
-        selected.confirm()
+        selected.send()
+
+
+def test_slow_connections_carry_no_extra_requests_to_a_cold_server() -> None:
+    """Guard against two shares in one second when connections open slowly.
+
+    A request reaches the server when its connection is open, not when the
+    server is chosen.
+    """
+    selected = _SelectedRequest()
+    selected.view.cold_until = _START + 60 * SECOND_NS
+    selected.state.placement.cold_rate_per_share['desk'] = 3
+    selected.progress.attempts = 1
+    with ExitStack() as connecting:
+        for _ in range(3):
+            assert selected.has_capacity()
+            connecting.enter_context(reserved_send(selected.view))
+        assert not selected.has_capacity()
+        selected.now += 300 * MILLISECOND_NS
+    for _ in range(3):
+        selected.send()
+    selected.now += 800 * MILLISECOND_NS
+    assert not selected.has_capacity()
+    selected.now += 300 * MILLISECOND_NS
+    assert selected.has_capacity()
 
 
 @pytest.mark.parametrize('pause_s', [3, 10])
--- a/tools/emulator/daemons.py
+++ b/tools/emulator/daemons.py
@@ -11,7 +11,7 @@
     decide_admission,
 )
 from geraniumshelf_core.dispatch.state import Place
-from geraniumshelf_core.placement.cold_starts import confirm_list
+from geraniumshelf_core.placement.cold_starts import confirm_list, record_send
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
@@ -126,7 +126,8 @@
 
     def record_start(self, candidate: Candidate, now: Nanoseconds) -> None:
         """Record that a request is sent to a server."""
-        begin_request(self.state, candidate.view, now)
+        begin_request(self.state, candidate.view)
+        record_send(candidate.view, now)
 
     def record_completion(
         self,
