Send cold servers nothing in the first two seconds of a daemon

A cold server could get two shares of its limit from one instance around a restart, and more than its limit while a fleet grows.

Cause: a daemon counts its own requests of the last second, and a restarted one has forgotten them. A new one divides the limit by a number that the others learn up to a second later.

A daemon uses its part of the limit from two seconds after its start on. Servers that are known not to be cold get requests at once. test_daemon_that_has_just_started_sends_a_cold_server_nothing guards it; the code before sends a whole share in the first second.

--- a/packages/core/src/geraniumshelf_core/placement/cold_starts.py
+++ b/packages/core/src/geraniumshelf_core/placement/cold_starts.py
@@ -18,6 +18,10 @@
 
 # Period over which requests to a cold server are counted.
 COLD_WINDOW_NS: Final[Nanoseconds] = SECOND_NS
+# An earlier run of this daemon may have used its part of the limit in the last
+# second. Other daemons learn of a new daemon, by whose part theirs shrinks,
+# within a second, and what they sent before counts for another one.
+_SETTLING_NS: Final[Nanoseconds] = 2 * SECOND_NS
 # Time for which a health check shows that a server is not cold.
 _MAX_CHECK_AGE_NS: Final[Nanoseconds] = SECOND_NS
 # A server is checked this long before the evidence expires.
@@ -175,7 +179,8 @@
     state: PlacementState, view: ServerView, now: Nanoseconds
 ) -> int:
     """Return this daemon's part of the limit of a cold server."""
-    if view.region != state.place.region:
+    is_settled = now - state.started_at > _SETTLING_NS
+    if view.region != state.place.region or not is_settled:
         return 0
     rate = state.cold_rate_per_share.get(view.server.service, 0)
     return whole_units(rate, count_shares(state.whole_shares, now))
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -137,6 +137,7 @@
         typical_work_times: Average work by service.
         has_placed_requests: Whether requests have been placed; from then on
             objects change region only in bounded steps.
+        started_at: Time at which this daemon started.
         list_confirmed_at: Time at which the list of servers was last known to
             lack no change; 0 before the first list.
         max_list_age: Time for which the list counts as current afterwards.
@@ -155,6 +156,7 @@
     rankings: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
     has_placed_requests: bool = False
+    started_at: Nanoseconds = -60 * SECOND_NS
     list_confirmed_at: Nanoseconds = 0
     max_list_age: Nanoseconds = SECOND_NS
     policies: Policies = DEFAULT_POLICIES
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -70,6 +70,7 @@
         Place(settings.zone, settings.region),
         settings.regions,
         whole_shares=whole_shares,
+        started_at=now,
     )
     quotas = AccountQuotas(
         bounds.quota_overshoot,
--- a/tests/core/placement/test_cold_starts.py
+++ b/tests/core/placement/test_cold_starts.py
@@ -81,6 +81,17 @@
     assert _send_all(state, 's1', now) == _SHARE - 2
 
 
+def test_daemon_that_has_just_started_sends_a_cold_server_nothing() -> None:
+    """Guard against two shares in one second around a restart.
+
+    The run before the restart may have used its share.
+    """
+    state = _make_state(s1='a1')
+    state.started_at = _OLD
+    assert _send_all(state, 's1', _OLD + SECOND_NS) == 0
+    assert _send_all(state, 's1', _OLD + 3 * SECOND_NS) == _SHARE
+
+
 def test_only_needed_servers_are_checked_and_not_at_once_again() -> None:
     """Guard against health checks that take slots from requests."""
     state = _make_state(s1='a1', t1='b1')
