Keep counting requests to a server whose entry lapses and returns

A cold server could get two shares of its limit in one second when its entry expires in an outage of the store and is written again, or when it starts again under its name.

Cause: the times of the requests were part of the view of the server, which is dropped with the entry.

--- a/packages/core/src/geraniumshelf_core/placement/cold_starts.py
+++ b/packages/core/src/geraniumshelf_core/placement/cold_starts.py
@@ -7,6 +7,7 @@
 the limit of cold servers applies to it.
 """
 
+from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Final
@@ -100,6 +101,23 @@
         view.reserved_sends -= 1
 
 
+def get_send_times(
+    state: PlacementState, name: str, now: Nanoseconds
+) -> deque[Nanoseconds]:
+    """Return the times of the requests to a server; create them if needed."""
+    send_times = state.send_times.get(name)
+    if send_times is None:
+        state.send_times = {
+            other: times
+            for other, times in state.send_times.items()
+            if other in state.servers
+            or (times and now - times[-1] <= COLD_WINDOW_NS)
+        }
+        send_times = deque()
+        state.send_times[name] = send_times
+    return send_times
+
+
 def record_send(view: ServerView, now: Nanoseconds) -> None:
     """Count a request that is sent to a server against its limit.
 
--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -5,7 +5,10 @@
 
 from attrs import frozen
 
-from geraniumshelf_core.placement.cold_starts import needs_checks
+from geraniumshelf_core.placement.cold_starts import (
+    get_send_times,
+    needs_checks,
+)
 from geraniumshelf_core.placement.notices import get_notice
 from geraniumshelf_core.placement.queries import (
     estimated_load,
@@ -97,7 +100,8 @@
     view = state.servers.get(server.name)
     if view is None or view.server.started_at_ms != server.started_at_ms:
         notice = get_notice(state, server.name, server.started_at_ms)
-        view = ServerView(server, region, notice)
+        send_times = get_send_times(state, server.name, now)
+        view = ServerView(server, region, notice, send_times)
         state.servers[server.name] = view
     view.server = server
     view.region = region
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -37,6 +37,7 @@
         server: Its entry in the platform's store.
         region: Region of its zone.
         notice: What it has announced in its responses.
+        send_times: Times at which this daemon sent requests to it lately.
         in_flight: Requests of this daemon that it runs or queues.
         other_requests: Requests of other daemons at the time of the last
             report.
@@ -56,7 +57,6 @@
         check_started_at: Time at which the last health check began.
         needed_at: Last time at which a request needed it while the list of
             servers was not current.
-        send_times: Times at which this daemon sent requests to it lately.
         reserved_sends: Requests for which this daemon opens a connection to it.
         warm_objects: Objects that it has handled for this daemon, least
             recently used first (an ordered set).
@@ -67,6 +67,7 @@
     server: ListedServer
     region: str
     notice: Notice = field(factory=Notice)
+    send_times: deque[Nanoseconds] = field(factory=deque)
     in_flight: int = 0
     other_requests: int = 0
     reported_at: Nanoseconds | None = None
@@ -81,7 +82,6 @@
     checked_at: Nanoseconds = -SECOND_NS
     check_started_at: Nanoseconds = -SECOND_NS
     needed_at: Nanoseconds = -60 * SECOND_NS
-    send_times: deque[Nanoseconds] = field(factory=deque)
     reserved_sends: int = 0
     warm_objects: dict[str, None] = field(factory=dict)
     idle_time: Nanoseconds | None = None
@@ -128,6 +128,8 @@
             allows to a cold server of this region, by service.
         whole_shares: Whole shares that this daemon holds.
         servers: Views by server name.
+        send_times: Times at which this daemon sent requests lately, by server
+            name; they outlast the view of a server whose entry lapses.
         notices: Notices of servers, by name and start time in Unix
             milliseconds.
         usable: Names of the servers that may get work, by service and region.
@@ -149,6 +151,7 @@
     cold_rate_per_share: dict[str, float] = field(factory=dict)
     whole_shares: WholeShares = field(factory=WholeShares)
     servers: dict[str, ServerView] = field(factory=dict)
+    send_times: dict[str, deque[Nanoseconds]] = field(factory=dict)
     notices: dict[tuple[str, int], Notice] = field(factory=dict)
     usable: dict[tuple[str, str], tuple[str, ...]] = field(factory=dict)
     evacuated: frozenset[str] = frozenset()
--- a/tests/core/placement/test_cold_starts.py
+++ b/tests/core/placement/test_cold_starts.py
@@ -1,5 +1,6 @@
 """Tests how the evidence that a server is not cold is used."""
 
+from attrs import evolve
 from tests.core.placement.harness import make_state, serve
 
 from geraniumshelf_core.placement.cold_starts import (
@@ -11,6 +12,7 @@
 from geraniumshelf_core.placement.commands import (
     put_server,
     record_need,
+    remove_server,
 )
 from geraniumshelf_core.placement.state import PlacementRequest, PlacementState
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
@@ -92,6 +94,19 @@
     assert _send_all(state, 's1', _OLD + 3 * SECOND_NS) == _SHARE
 
 
+def test_entry_that_lapses_and_returns_brings_no_second_share() -> None:
+    """Guard against two shares in one second when an entry comes back."""
+    state = _make_state(s1='a1')
+    server = state.servers['s1'].server
+    assert _send_all(state, 's1', _OLD) == _SHARE
+    remove_server(state, 's1')
+    put_server(state, server, _OLD)
+    assert _send_all(state, 's1', _OLD + SECOND_NS // 2) == 0
+    restarted = evolve(server, started_at_ms=9)
+    put_server(state, restarted, _OLD)
+    assert _send_all(state, 's1', _OLD + SECOND_NS // 2) == 0
+
+
 def test_only_needed_servers_are_checked_and_not_at_once_again() -> None:
     """Guard against health checks that take slots from requests."""
     state = _make_state(s1='a1', t1='b1')
