Let the slack of retries fill from the start of a daemon

More requests could be sent to a second server than the budget allows, in a window in which daemons are restarted.

Cause: the bucket of the slack started full, and a restarted daemon does not know what its earlier run has spent: the same class as the flood of cold servers, found by reading. Quotas already start empty.

--- a/packages/core/src/geraniumshelf_core/shares/retries.py
+++ b/packages/core/src/geraniumshelf_core/shares/retries.py
@@ -40,6 +40,8 @@
         window_s: Length of the window, seconds.
         daemons: Number of daemons that share the slack.
         whole_shares: Whole shares that this daemon holds.
+        started_at: Time at which this daemon started. Its buckets begin to fill
+            then, as an earlier run may have spent the slack of the window.
         budgets: Budget by service.
     """
 
@@ -48,6 +50,7 @@
     window_s: float
     daemons: int = 1
     whole_shares: WholeShares = field(factory=WholeShares)
+    started_at: Nanoseconds = 0
     budgets: dict[str, ServiceBudget] = field(factory=dict)
 
 
@@ -93,7 +96,7 @@
     rate, capacity = _slack_share(shares, now)
     if budget is None:
         budget = ServiceBudget(
-            ShareBucket(rate, capacity, capacity, filled_at=now)
+            ShareBucket(rate, capacity, filled_at=shares.started_at)
         )
         shares.budgets[service] = budget
     elif budget.slack.capacity != capacity:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -84,6 +84,7 @@
         bounds.retry_slack,
         ns_to_seconds(bounds.retry_window),
         whole_shares=whole_shares,
+        started_at=now,
     )
     return EdgeState(placement, quotas, retries)
 
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -17,6 +17,8 @@
 from tests.platform.store_standin import StoreBehaviour
 
 _OBJECT_COUNT = 20
+# Time in which the slack of the bounds allows several retries.
+_RETRY_TOKEN_S = 1.0
 
 
 async def _fetch_all(harness: EdgeHarness, first: int = 0) -> list[int]:
@@ -111,6 +113,7 @@
     async def scenario() -> None:
         servers = {name: ServerStandin(name) for name in ('i-1', 'i-2')}
         async with running_harness(servers, make_configuration()) as harness:
+            await asyncio.sleep(_RETRY_TOKEN_S)
             servers['i-1'].is_full = True
             servers['i-1'].retry_after = '1.5'
             assert await _fetch_all(harness) == [200] * _OBJECT_COUNT
