Check a server that accepted no connection before it gets the full rate

A server that crashes and starts again under its name could be flooded while it is cold: it accepts requests before its entry in the store tells of the restart.

A daemon that cannot connect tries the server a second later and then goes on at the full rate, as its list shows no restart yet.

For three seconds after a failed connection the list is no evidence that the server is not cold; a health check is. test_server_that_was_unreachable_gets_the_full_rate_after_a_check guards it. test_unreachable_server_is_tried_by_one_request_at_a_time gets a limit for cold servers, as each configuration has one; its checks are the same.

--- a/packages/core/src/geraniumshelf_core/placement/cold_starts.py
+++ b/packages/core/src/geraniumshelf_core/placement/cold_starts.py
@@ -25,6 +25,8 @@
 _SETTLING_NS: Final[Nanoseconds] = 2 * SECOND_NS
 # Time for which a health check shows that a server is not cold.
 _MAX_CHECK_AGE_NS: Final[Nanoseconds] = SECOND_NS
+# A server writes its entry within two of its heartbeat intervals.
+_ENTRY_DELAY_NS: Final[Nanoseconds] = 3 * SECOND_NS
 # A server is checked this long before the evidence expires.
 _CHECK_LEAD_MS: Final = 300
 _CHECK_LEAD_NS: Final[Nanoseconds] = _CHECK_LEAD_MS * MILLISECOND_NS
@@ -57,8 +59,11 @@
     """Return whether there is recent evidence that a server is not cold."""
     if is_cold(view, now):
         return False
-    is_checked = now - view.checked_at <= _MAX_CHECK_AGE_NS
-    return is_checked or is_list_current(state, now)
+    if now - view.checked_at <= _MAX_CHECK_AGE_NS:
+        return True
+    return is_list_current(state, now) and not _may_have_restarted(
+        state, view, now
+    )
 
 
 def may_get_request(
@@ -135,9 +140,22 @@
     return sum(now - at <= COLD_WINDOW_NS for at in view.send_times)
 
 
+def record_unreachable(
+    state: PlacementState, view: ServerView, now: Nanoseconds
+) -> None:
+    """Record that a server accepted no connection.
+
+    It may start again under its name, and requests reach it before its entry
+    tells of the restart.
+    """
+    view.checked_at = now - _MAX_CHECK_AGE_NS - 1
+    state.unreachable_at[view.server.name] = now
+
+
 def needs_checks(state: PlacementState, now: Nanoseconds) -> bool:
-    """Return whether the list of servers is not current for much longer."""
-    return not is_list_current(state, now + _CHECK_LEAD_NS)
+    """Return whether a health check may be due for any server."""
+    is_list_ageing = not is_list_current(state, now + _CHECK_LEAD_NS)
+    return is_list_ageing or bool(state.unreachable_at)
 
 
 def choose_checks(
@@ -151,6 +169,11 @@
     """
     if not needs_checks(state, now):
         return ()
+    state.unreachable_at = {
+        name: at
+        for name, at in state.unreachable_at.items()
+        if now - at <= _ENTRY_DELAY_NS
+    }
     chosen = tuple(
         state.servers[name]
         for names in state.usable.values()
@@ -193,6 +216,15 @@
     return not may_get_full_rate(state, view, now + _CHECK_LEAD_NS)
 
 
+def _may_have_restarted(
+    state: PlacementState, view: ServerView, now: Nanoseconds
+) -> bool:
+    unreachable_at = state.unreachable_at.get(view.server.name)
+    if unreachable_at is None:
+        return False
+    return now - unreachable_at <= _ENTRY_DELAY_NS
+
+
 def _cold_share(
     state: PlacementState, view: ServerView, now: Nanoseconds
 ) -> int:
--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -8,6 +8,7 @@
 from geraniumshelf_core.placement.cold_starts import (
     get_send_times,
     needs_checks,
+    record_unreachable,
 )
 from geraniumshelf_core.placement.notices import get_notice
 from geraniumshelf_core.placement.queries import (
@@ -205,6 +206,7 @@
         # The server certainly does not respond, so unlike an ejection this is
         # not limited to a fraction of the servers.
         view.is_unreachable = True
+        record_unreachable(state, view, now)
         view.ejected_until = now + _UNREACHABLE_NS
         return True
     if outcome.work:
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -128,6 +128,8 @@
             allows to a cold server of this region, by service.
         whole_shares: Whole shares that this daemon holds.
         servers: Views by server name.
+        unreachable_at: Last time at which a server accepted no connection, by
+            server name.
         send_times: Times at which this daemon sent requests lately, by server
             name; they outlast the view of a server whose entry lapses.
         notices: Notices of servers, by name and start time in Unix
@@ -151,6 +153,7 @@
     cold_rate_per_share: dict[str, float] = field(factory=dict)
     whole_shares: WholeShares = field(factory=WholeShares)
     servers: dict[str, ServerView] = field(factory=dict)
+    unreachable_at: dict[str, Nanoseconds] = field(factory=dict)
     send_times: dict[str, deque[Nanoseconds]] = field(factory=dict)
     notices: dict[tuple[str, int], Notice] = field(factory=dict)
     usable: dict[tuple[str, str], tuple[str, ...]] = field(factory=dict)
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -108,6 +108,7 @@
 def test_unreachable_server_is_tried_by_one_request_at_a_time() -> None:
     """Requests for an object must not all wait for a dead server."""
     state = make_state({'s1': 'a1', 's2': 'a1'})
+    state.cold_rate_per_share['desk'] = 3
     home = state.servers[chosen(state, 'x')]
     begin_request(state, home)
     end_request(state, home, Outcome(is_failure=True, is_unreachable=True), NOW)
--- a/tests/core/placement/test_cold_starts.py
+++ b/tests/core/placement/test_cold_starts.py
@@ -1,7 +1,7 @@
 """Tests how the evidence that a server is not cold is used."""
 
 from attrs import evolve
-from tests.core.placement.harness import make_state, serve
+from tests.core.placement.harness import NOW, make_state, serve
 
 from geraniumshelf_core.placement.cold_starts import (
     choose_checks,
@@ -10,6 +10,9 @@
     record_health,
 )
 from geraniumshelf_core.placement.commands import (
+    Outcome,
+    begin_request,
+    end_request,
     put_server,
     record_need,
     remove_server,
@@ -107,6 +110,23 @@
     assert _send_all(state, 's1', _OLD + SECOND_NS // 2) == 0
 
 
+def test_server_that_was_unreachable_gets_the_full_rate_after_a_check() -> None:
+    """Guard against the full rate to a server that restarted under its name.
+
+    It accepts requests before its entry tells of the restart.
+    """
+    state = _make_state(s1='a1')
+    view = state.servers['s1']
+    begin_request(state, view)
+    end_request(state, view, Outcome(is_unreachable=True), NOW)
+    now = NOW + 2 * SECOND_NS
+    assert _send_all(state, 's1', now) == _SHARE
+    record_need(state, _REQUEST, now)
+    assert choose_checks(state, now) == (view,)
+    record_health(view, 0, now)
+    assert _send_all(state, 's1', now) == 20
+
+
 def test_only_needed_servers_are_checked_and_not_at_once_again() -> None:
     """Guard against health checks that take slots from requests."""
     state = _make_state(s1='a1', t1='b1')
