--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -4,6 +4,11 @@
 from collections.abc import Callable
 
 import pytest
+from tests.platform.faulty_servers import (
+    SIGNED,
+    TruncatingServer,
+    build_response,
+)
 from tests.platform.harness import (
     EdgeHarness,
     make_configuration,
@@ -12,38 +17,11 @@
 )
 from tests.platform.server_standin import ReceivedRequest, ServerStandin
 
-_SIGNED = 'X-Response-Signature: s\r\n'
 # Above the size up to which a response is buffered whole before it is
 # forwarded.
 _LONG_BODY_BYTES = 400_000
 
 
-def _build_response(request_id: str, body: bytes, extra: str = '') -> bytes:
-    id_header = f'X-Request-Id: {request_id}\r\n' if request_id else ''
-    head = f'HTTP/1.1 200 x\r\n{id_header}{_SIGNED}{extra}'
-    return f'{head}Content-Length: {len(body)}\r\n\r\n'.encode() + body
-
-
-class _TruncatingServer(ServerStandin):
-    """Sends the first bytes of a response and closes the connection."""
-
-    full_response: bytes = b''
-    sent_bytes: int = 0
-    is_reset: bool = False
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
-        writer.write(self.full_response[: self.sent_bytes])
-        await writer.drain()
-        if self.is_reset:
-            # By then, the daemon has read what was sent so far.
-            await asyncio.sleep(0.2)
-            writer.transport.abort()
-        writer.close()
-
-
 class _EndlessServer(ServerStandin):
     """Sends a start, then the same bytes until the connection is closed."""
 
@@ -79,12 +57,12 @@
 @pytest.mark.parametrize(
     'copy',
     [
-        _build_response('', b'stray'),
-        _build_response('id-/sale/1', b'stray', 'X-Request-Id: id-/sale/2\r\n'),
-        _build_response('id-/sale/1', b'stray')[:40],
-        _build_response('id-/sale/1', b'stray')[:40]
-        + _build_response('id-/sale/2', b'own'),
-        b'HTTP/1.1 200 x\r\n' + _build_response('', b'stray'),
+        build_response('', b'stray'),
+        build_response('id-/sale/1', b'stray', 'X-Request-Id: id-/sale/2\r\n'),
+        build_response('id-/sale/1', b'stray')[:40],
+        build_response('id-/sale/1', b'stray')[:40]
+        + build_response('id-/sale/2', b'own'),
+        b'HTTP/1.1 200 x\r\n' + build_response('', b'stray'),
     ],
     ids=['no id', 'two ids', 'cut head', 'inside a head', 'two status lines'],
 )
@@ -120,8 +98,8 @@
 
 
 _INTERIM = b'HTTP/1.1 102 x\r\n\r\n'
-_STRAY = _build_response('other', b'stray')
-_OWN_HEAD = f'HTTP/1.1 200 x\r\nX-Request-Id: id-/sale/1\r\n{_SIGNED}'.encode()
+_STRAY = build_response('other', b'stray')
+_OWN_HEAD = f'HTTP/1.1 200 x\r\nX-Request-Id: id-/sale/1\r\n{SIGNED}'.encode()
 _CHUNKED = _OWN_HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 
 
@@ -134,7 +112,7 @@
         (b'', _INTERIM, 0),
         (b'', _STRAY, 0),
         (
-            _build_response('other', b'')[:-5] + b'9' * 15 + b'\r\n\r\n',
+            build_response('other', b'')[:-5] + b'9' * 15 + b'\r\n\r\n',
             b'x' * 4096,
             0,
         ),
@@ -247,7 +225,7 @@
     """A caller would take half a receipt for the whole receipt."""
 
     async def scenario() -> None:
-        server = _TruncatingServer('i-1')
+        server = TruncatingServer('i-1')
         server.full_response = framed = frame(b'0123456789')
         async with running_harness(
             {'i-1': server}, make_configuration()
@@ -277,7 +255,7 @@
     """
 
     async def scenario() -> None:
-        server = _TruncatingServer('i-1')
+        server = TruncatingServer('i-1')
         server.full_response = frame(b'x' * _LONG_BODY_BYTES)
         server.sent_bytes = len(server.full_response) - 3
         server.is_reset = is_reset
