--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -116,3 +116,14 @@
     )
     assert found.server_name == 'i-1'
     assert found.cold_left == 250 * MILLISECOND_NS
+
+
+@pytest.mark.parametrize('text', ['1e308', '9' * 400, '9' * 5000, '-1', 'nan'])
+def test_number_out_of_range_is_ignored(text: str) -> None:
+    """Guard against requests that fail because of one header of a server."""
+    request = _CODEC.read_request(_headers(('X-Deadline-Ms', text)))
+    assert request.timeout is None
+    assert _CODEC.read_health(_headers(('X-Cold-Ms', text))).cold_left == 0
+    for load in (f'{text},0,3', f'0,{text},3'):
+        response = _CODEC.read_response(200, _headers(('X-Server-Load', load)))
+        assert response.load is None
