Ask for the changes of servers again after a gap in the contact with the store

A daemon that was cut off from the store for a moment could flood a server that had become cold meanwhile, although its list counted as confirmed.

Cause: after the cut the store responds to a probe, while the watch of the servers still waits for a response that the cut has swallowed; it is given up up to 2.8 s after it began. The response to the probe was taken for evidence that the list lacks no change.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_availability.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_availability.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from geraniumshelf_core.presence.freshness import max_list_age
 from geraniumshelf_core.presence.state import PresenceState
 from geraniumshelf_core.presence.store_availability import (
     OutageLimits,
@@ -31,6 +32,7 @@
         self._presence = presence
         self._bounds = bounds
         self._availability = StoreAvailability()
+        self._contact_since: Nanoseconds = 0
         self._failure_event = asyncio.Event()
 
     @property
@@ -43,8 +45,16 @@
         """Return the time of the newest response, ``None`` for none."""
         return self._availability.last_response_at
 
+    @property
+    def contact_since(self) -> Nanoseconds:
+        """Return since when a list of servers would have stayed current."""
+        return self._contact_since
+
     def record_store_response(self, era: int, now: Nanoseconds) -> None:
         """Record that the store has responded."""
+        last_at = self._availability.last_response_at
+        if last_at is None or now - last_at > max_list_age(self._presence):
+            self._contact_since = now
         record_response(self._availability, era, self._limits(), now)
 
     def record_store_failure(self) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_follower.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_follower.py
@@ -138,13 +138,17 @@
         watcher = self._watchers[_SERVERS_INDEX]
         confirmed_at = watcher.confirmed_at
         last_response_at = self._availability.last_response_at
-        if (
-            confirmed_at is None
-            or last_response_at is None
-            or watcher.is_disconnected
-            or self._rules.is_behind(_SERVERS_INDEX, watcher.seen_revision)
+        if confirmed_at is None or last_response_at is None:
+            return None
+        if watcher.is_disconnected or self._rules.is_behind(
+            _SERVERS_INDEX, watcher.seen_revision
         ):
             return confirmed_at
+        contact_since = self._availability.contact_since
+        if max(confirmed_at, watcher.watch_started_at) < contact_since:
+            # The response of the watch may have been lost with the contact.
+            watcher.retry(contact_since)
+            return confirmed_at
         return max(confirmed_at, last_response_at)
 
     def start(self) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watcher.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watcher.py
@@ -132,6 +132,11 @@
         """Return whether the last call failed."""
         return self._is_disconnected
 
+    @property
+    def watch_started_at(self) -> Nanoseconds:
+        """Return the time at which the last watch was sent."""
+        return self._watch_started_at
+
     @property
     def seen_revision(self) -> StoreRevision:
         """Return the revision up to which all changes are known."""
--- a/tests/daemon/edge/test_cold_servers.py
+++ b/tests/daemon/edge/test_cold_servers.py
@@ -98,3 +98,24 @@
         run_fleet(cuts, seed, _make_scenario(results), servers=('s1',))
         sent = [at for at in results[0] if at >= _COLD_S + 0.1]
         assert _max_per_second(sent) <= _COLD_LIMIT, seed
+
+
+def test_end_of_a_cut_confirms_no_list_that_lacks_changes() -> None:
+    """Guard against the full rate between the end of a cut and the next list.
+
+    The store responds to a probe, while the watch of the servers still waits
+    for a response that the cut has swallowed.
+    """
+    # The watches that began just before the cut are given up after its end.
+    begin_s, cold_s, end_s = 6.5, 7.0, 8.0
+
+    async def scenario(fleet: FollowerFleet) -> None:
+        await sleep_until(cold_s)
+        cold = evolve(make_server('s1'), cold_left=10 * SECOND_NS)
+        fleet.store.put(RecordKind.SERVERS, 's1', cold)
+        await sleep_until(end_s)
+        sent = await _record_sends(fleet, end_s + 5)
+        assert _max_per_second(sent) <= _COLD_LIMIT / 3
+
+    for seed in _SEEDS:
+        run_fleet({'n1': ((begin_s, end_s),)}, seed, scenario, servers=('s1',))
