--- a/packages/core/src/geraniumshelf_core/placement/cold_starts.py
+++ b/packages/core/src/geraniumshelf_core/placement/cold_starts.py
@@ -12,7 +12,11 @@
 from contextlib import contextmanager
 from typing import Final
 
-from geraniumshelf_core.placement.state import PlacementState, ServerView
+from geraniumshelf_core.placement.state import (
+    LONG_AGO,
+    PlacementState,
+    ServerView,
+)
 from geraniumshelf_core.shares.division import whole_units
 from geraniumshelf_core.shares.whole_shares import count_shares
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
@@ -148,7 +152,7 @@
     It may start again under its name, and requests reach it before its entry
     tells of the restart.
     """
-    view.checked_at = now - _MAX_CHECK_AGE_NS - 1
+    view.checked_at = LONG_AGO
     state.unreachable_at[view.server.name] = now
 
 
@@ -186,9 +190,7 @@
 
 
 def record_health(
-    view: ServerView,
-    cold_left: Nanoseconds,
-    now: Nanoseconds,
+    view: ServerView, cold_left: Nanoseconds, now: Nanoseconds
 ) -> None:
     """Record the result of a health check.
 
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -14,6 +14,8 @@
 # The weight of a reported load falls linearly to zero over this time, because
 # a server finishes most of the reported requests within it.
 REPORT_DECAY_NS: Nanoseconds = SECOND_NS
+# Stands for the time of what has not happened yet.
+LONG_AGO: Nanoseconds = -3600 * SECOND_NS
 
 
 @define(eq=False)
@@ -79,9 +81,9 @@
     is_unreachable: bool = False
     full_until: Nanoseconds = 0
     cold_until: Nanoseconds = 0
-    checked_at: Nanoseconds = -SECOND_NS
-    check_started_at: Nanoseconds = -SECOND_NS
-    needed_at: Nanoseconds = -60 * SECOND_NS
+    checked_at: Nanoseconds = LONG_AGO
+    check_started_at: Nanoseconds = LONG_AGO
+    needed_at: Nanoseconds = LONG_AGO
     reserved_sends: int = 0
     warm_objects: dict[str, None] = field(factory=dict)
     idle_time: Nanoseconds | None = None
@@ -143,7 +145,7 @@
             objects change region only in bounded steps.
         started_at: Time at which this daemon started.
         list_confirmed_at: Time at which the list of servers was last known to
-            lack no change; 0 before the first list.
+            lack no change.
         max_list_age: Time for which the list counts as current afterwards.
         policies: The policies in use.
     """
@@ -162,8 +164,8 @@
     rankings: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
     has_placed_requests: bool = False
-    started_at: Nanoseconds = -60 * SECOND_NS
-    list_confirmed_at: Nanoseconds = 0
+    started_at: Nanoseconds = LONG_AGO
+    list_confirmed_at: Nanoseconds = LONG_AGO
     max_list_age: Nanoseconds = SECOND_NS
     policies: Policies = DEFAULT_POLICIES
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/health_checks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/health_checks.py
@@ -51,6 +51,8 @@
         # One connection for each server: its checks follow each other.
         self._pool = ConnectionPool(1, CONNECT_TIMEOUT_NS)
         self._checks: set[asyncio.Task[None]] = set()
+        # Names of servers whose last check failed.
+        self._failing: set[str] = set()
 
     async def run(self) -> None:
         """Check servers when it is due, until the task is cancelled."""
@@ -75,13 +77,9 @@
             async with asyncio.timeout(_TIMEOUT_S):
                 status, fields = await self._fetch(view.server.address, path)
         except OSError as error:
-            # The limit of cold servers stays in force for this one.
-            log_event(
-                Event.BACKEND_UNCHECKED,
-                view.server.name,
-                error=str(error) or type(error).__name__,
-            )
+            self._log_failure(view.server.name, error)
             return
+        self._failing.discard(view.server.name)
         if fields.server_name != view.server.name:
             return
         if fields.cold_left or status == _OK:
@@ -93,6 +91,12 @@
                 cold_for_ms=fields.cold_left // MILLISECOND_NS,
             )
 
+    def _log_failure(self, name: str, error: OSError) -> None:
+        if name not in self._failing:
+            self._failing.add(name)
+            reason = str(error) or type(error).__name__
+            log_event(Event.BACKEND_UNCHECKED, name, error=reason)
+
     def _health_path(self, service: str) -> str | None:
         table = self._state.table
         if table is None:
