--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Mapping
+from typing import Final
 
 from attrs import define, field, frozen
 
@@ -14,8 +15,9 @@
 # The weight of a reported load falls linearly to zero over this time, because
 # a server finishes most of the reported requests within it.
 REPORT_DECAY_NS: Nanoseconds = SECOND_NS
+_LONG_AGO_S: Final = -3600
 # Stands for the time of what has not happened yet.
-LONG_AGO: Nanoseconds = -3600 * SECOND_NS
+LONG_AGO: Final[Nanoseconds] = _LONG_AGO_S * SECOND_NS
 
 
 @define(eq=False)
