Read and log the limits that backend servers name

Neither logs nor metrics told whether a daemon had read the limit that a server names in its responses, so the hypotheses of the incident could not be told apart. The limit is read, logged when it changes and counted; nothing is decided by it yet. A value that is no plain decimal number is ignored, logged once and counted. A response lifts or raises a limit only if its request was sent after the limit was last confirmed, as responses may overtake each other.

--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from geraniumshelf_core.dispatch.state import Place
+from geraniumshelf_core.placement.server_limits import ServerLimit
 from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
 from geraniumshelf_core.shares.whole_shares import WholeShares
 from geraniumshelf_core.site.model import ListedServer
@@ -27,10 +28,12 @@
     Attributes:
         is_leaving: Whether it is about to shut down.
         paused_until: End of the pause that it requested, 0 for none.
+        limit: The limit that it has named.
     """
 
     is_leaving: bool = False
     paused_until: Nanoseconds = 0
+    limit: ServerLimit = field(factory=ServerLimit)
 
 
 @define(eq=False)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
@@ -46,13 +46,14 @@
         connections: Connections to backend servers.
         codec: Reads and writes the headers of requests and responses.
         clock: Returns the current time, nanoseconds.
-        handle_notices: Handles the notices of a server in a response.
+        handle_notices: Handles the notices of a server in the response to a
+            request that was sent at a time.
     """
 
     connections: ServerConnections
     codec: HeaderCodec
     clock: Callable[[], Nanoseconds]
-    handle_notices: Callable[[ServerView, ResponseFields], None]
+    handle_notices: Callable[[ServerView, ResponseFields, Nanoseconds], None]
 
 
 @frozen
@@ -135,6 +136,7 @@
             RequestRefused: If the caller stopped sending the body.
         """
         assert self._exchange is not None
+        sent_at = self._shared.clock()
         self._exchange.start_nowait(self._headers(caller))
         if caller.has_body:
             self._upload_task = asyncio.create_task(self._send_body())
@@ -143,7 +145,7 @@
             status, reason, headers = await self._receive_head(on_silence)
             fields = self._shared.codec.read_response(status, headers)
             self._view.idle_time = fields.idle_time
-            self._shared.handle_notices(self._view, fields)
+            self._shared.handle_notices(self._view, fields, sent_at)
             _check_response(status, fields)
             body, is_complete = await self._buffer_body()
         except OSError as error:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
@@ -8,6 +8,10 @@
 from tornado.httputil import HTTPHeaders
 
 from geraniumshelf_core.history.eras import StoreRevision
+from geraniumshelf_core.placement.server_limits import (
+    LimitStatement,
+    NoLimit,
+)
 from geraniumshelf_core.site.model import ListedServer, SiteConfiguration
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.eras import StoreEras
@@ -69,6 +73,7 @@
             stated.
         idle_time: Time for which the server keeps idle connections, ``None``
             if not stated.
+        limit: What it says about a limit of the server.
     """
 
     request_ids: tuple[str, ...]
@@ -79,6 +84,7 @@
     is_leaving: bool = False
     pause: Nanoseconds | None = None
     idle_time: Nanoseconds | None = None
+    limit: LimitStatement = field(factory=NoLimit)
 
 
 @frozen
@@ -88,10 +94,12 @@
     Attributes:
         server_name: Server that responded, empty if not stated.
         cold_left: Time for which the server stays cold.
+        limit: What the response says about a limit of the server.
     """
 
     server_name: str
     cold_left: Nanoseconds
+    limit: LimitStatement = field(factory=NoLimit)
 
 
 class HeaderCodec(Protocol):
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -29,6 +29,8 @@
     BACKENDS_EJECTED = 'backends_ejected'
     BACKENDS_UNCONFIRMED = 'backends_unconfirmed'
     HEALTH_CHECKS = 'health_checks'
+    LIMITS_NAMED = 'limits_named'
+    LIMITS_UNREADABLE = 'limits_unreadable'
     CONNECTIONS_SILENT = 'connections_silent'
     UPSTREAM_CONNECTIONS = 'upstream_connections'
 
--- a/tests/platform/server_standin.py
+++ b/tests/platform/server_standin.py
@@ -36,6 +36,7 @@
         is_leaving: Whether its responses announce that it leaves.
         retry_after: ``Retry-After`` of its rejections, empty for none.
         is_full: Whether it rejects all requests.
+        rate_limit: ``Server-Limit`` of its responses, empty for none.
         cold_ms: Time for which it reports in health checks that it stays cold.
         aborted_count: Number of requests whose connection the daemon closed
             before their response.
@@ -51,6 +52,7 @@
     is_leaving: bool = False
     retry_after: str = ''
     is_full: bool = False
+    rate_limit: str = ''
     cold_ms: int = 0
     aborted_count: int = 0
     address: str = ''
@@ -159,6 +161,8 @@
         extra = 'X-Response-Signature: s' if was_run else 'X-Not-Executed: 1'
         if self.is_leaving:
             extra += '\r\nServer-Leaving: 1'
+        if self.rate_limit:
+            extra += f'\r\nServer-Limit: {self.rate_limit}'
         if self.retry_after and status == _SERVICE_UNAVAILABLE:
             extra += f'\r\nRetry-After: {self.retry_after}'
         return (
