Keep the limits that backend servers name

Cause: no daemon read the word, and nothing in the design holds a rate that a server states. All that is limited elsewhere is either declared by operators and divided evenly, or learned by each daemon for itself.

Why this works: what a response says is recorded only if it can be later than what is known; each change gets a version and goes to all ready daemons, and the owner of a server repeats it. The owner, one daemon of the region of the server, grants permits at the named rate to the daemons that have requests for it. A permit is needed for the choice and used when the request is sent, and expires half a second after it was asked for, so no window holds more than the rate for it and that time. A deputy grants some while the owner is silent; owners on both sides of a cut together stay near the rate. Placement, crowding, spills and retry times count a limited server with the room that its rate allows.

--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -13,6 +13,11 @@
 
 from geraniumshelf_core.membership.ranking import rank_names
 from geraniumshelf_core.placement.cold_starts import may_get_request
+from geraniumshelf_core.placement.limited_servers import (
+    has_permit,
+    is_limited,
+    usable_slots,
+)
 from geraniumshelf_core.placement.notices import is_paused
 from geraniumshelf_core.placement.state import (
     REPORT_DECAY_NS,
@@ -41,6 +46,8 @@
 # so that a server that was slow is tried again.
 _SLOWNESS_HALF_LIFE_NS: Final[Nanoseconds] = 2 * SECOND_NS
 _MAX_RANKINGS: Final = 20_000
+# A caller for whom there is no permit retries after this time at the earliest.
+_PERMIT_WAIT_NS: Final[Nanoseconds] = SECOND_NS // 2
 
 
 def choose_server(
@@ -91,6 +98,25 @@
             yield state.servers[name]
 
 
+def servers_without_permit(
+    state: PlacementState, request: PlacementRequest, now: Nanoseconds
+) -> Iterator[ServerView]:
+    """Yield the limited servers that a request prefers but has no permit for.
+
+    The request is sent to the first other server of the preferred region if it
+    gets no permit for them.
+    """
+    region = next(region_order(state, request), None)
+    names = () if region is None else _ranking(state, request, region)
+    for name in names:
+        view = state.servers[name]
+        is_available = _is_available(state, view, now)
+        if is_available and name not in request.excluded:
+            if not is_limited(view):
+                return
+            yield view
+
+
 def estimated_load(view: ServerView, now: Nanoseconds) -> float:
     """Return the requests that a server runs and queues, by the last report."""
     if view.reported_at is None:
@@ -126,7 +152,8 @@
     views = [
         state.servers[name] for name in state.usable.get((service, region), ())
     ]
-    slots = sum(view.server.slots for view in views)
+    work = typical_work(state, service).warm
+    slots = sum(usable_slots(view, work) for view in views)
     load = sum(estimated_load(view, now) for view in views)
     return load > state.policies.crowded_above * slots
 
@@ -159,13 +186,16 @@
         for region in region_order(state, request)
         for name in state.usable.get((request.service, region), ())
         if name not in request.excluded
-        and (end := _unavailable_until(state.servers[name])) > now
+        and (end := _unavailable_until(state.servers[name], now)) > now
     ]
     return min(ends) - now if ends else None
 
 
-def _unavailable_until(view: ServerView) -> Nanoseconds:
-    return max(view.notice.paused_until, view.ejected_until)
+def _unavailable_until(view: ServerView, now: Nanoseconds) -> Nanoseconds:
+    until = max(view.notice.paused_until, view.ejected_until)
+    if is_limited(view):
+        return max(until, view.notice.permits.ask_after, now + _PERMIT_WAIT_NS)
+    return until
 
 
 def _choose_in_region(
@@ -236,6 +266,16 @@
 ) -> bool:
     """Return whether a usable server may get a request now.
 
+    A server that has named a limit also needs a permit.
+    """
+    return has_permit(view, now) and _is_available(state, view, now)
+
+
+def _is_available(
+    state: PlacementState, view: ServerView, now: Nanoseconds
+) -> bool:
+    """Return whether a server may get a request, apart from its limit.
+
     An unreachable server gets one request at a time.
     """
     if view.ejected_until > now or is_paused(view, now):
--- a/packages/core/src/geraniumshelf_core/placement/server_limits.py
+++ b/packages/core/src/geraniumshelf_core/placement/server_limits.py
@@ -6,10 +6,14 @@
 Responses may arrive in another order than the server wrote them in. So a
 response lifts or raises a limit only if its request was sent after the daemon
 had learned of the limit; a lower limit is in force at once.
+
+Daemons tell each other of changes. Each change that a daemon sees in a response
+gets the next version, and the latest version is in force at all daemons.
 """
 
 import re
 from collections.abc import Collection
+from math import inf
 from typing import Final
 
 from attrs import define, frozen
@@ -61,13 +65,33 @@
     Attributes:
         rate: Requests per second from all daemons together, ``None`` if no
             limit is in force.
-        confirmed_at: Time at which the limit was last named.
+        version: Number of changes up to this one, 0 if it was never limited.
+        confirmed_at: Time at which this daemon last heard of the limit.
     """
 
     rate: float | None = None
+    version: int = 0
     confirmed_at: Nanoseconds = 0
 
 
+@frozen
+class LimitNotice:
+    """Message to other daemons about the limit of a server.
+
+    Attributes:
+        server: Name of the server.
+        started_at_ms: Time of its start, Unix milliseconds.
+        rate: Requests per second from all daemons together, ``None`` if the
+            limit has ended.
+        version: Version of the limit.
+    """
+
+    server: str
+    started_at_ms: int
+    rate: float | None
+    version: int
+
+
 def read_limit(texts: Collection[str]) -> LimitStatement:
     """Read the values of all headers that name a limit.
 
@@ -107,9 +131,36 @@
             is_changed = rate != limit.rate
             limit.rate = rate
             limit.confirmed_at = now
-            return is_changed
         case NoLimit() if limit.rate is not None and is_later:
+            is_changed = True
             limit.rate = None
-            return True
         case _:
             return False
+    if is_changed:
+        limit.version += 1
+    return is_changed
+
+
+def record_notice(
+    limit: ServerLimit, notice: LimitNotice, now: Nanoseconds
+) -> bool:
+    """Record what another daemon knows; return whether the limit has changed.
+
+    Of two changes with the same version the lower limit is in force.
+    """
+    is_valid = notice.rate is None or 0 <= notice.rate < inf
+    if notice.version < limit.version or not is_valid:
+        return False
+    is_higher = _comparable(notice.rate) > _comparable(limit.rate)
+    if notice.version == limit.version and is_higher:
+        return False
+    is_changed = notice.rate != limit.rate
+    if is_changed:
+        limit.confirmed_at = now
+    limit.rate = notice.rate
+    limit.version = notice.version
+    return is_changed
+
+
+def _comparable(rate: float | None) -> float:
+    return inf if rate is None else rate
--- a/packages/core/src/geraniumshelf_core/placement/spills.py
+++ b/packages/core/src/geraniumshelf_core/placement/spills.py
@@ -7,7 +7,8 @@
 
 from typing import Final
 
-from geraniumshelf_core.placement.queries import estimated_load
+from geraniumshelf_core.placement.limited_servers import usable_slots
+from geraniumshelf_core.placement.queries import estimated_load, typical_work
 from geraniumshelf_core.placement.state import PlacementState, SpillState
 from geraniumshelf_core.units import Nanoseconds
 
@@ -91,8 +92,9 @@
     views = [
         state.servers[name] for name in state.usable.get((service, region), ())
     ]
+    work = typical_work(state, service).warm
     slots = sum(
-        view.server.slots for view in views if view.ejected_until <= now
+        usable_slots(view, work) for view in views if view.ejected_until <= now
     )
     if not slots:
         return 1
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -9,6 +9,7 @@
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.placement.server_limits import ServerLimit
 from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
+from geraniumshelf_core.shares.permits import PermitStock
 from geraniumshelf_core.shares.whole_shares import WholeShares
 from geraniumshelf_core.site.model import ListedServer
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
@@ -29,11 +30,13 @@
         is_leaving: Whether it is about to shut down.
         paused_until: End of the pause that it requested, 0 for none.
         limit: The limit that it has named.
+        permits: Permits of this daemon for requests under that limit.
     """
 
     is_leaving: bool = False
     paused_until: Nanoseconds = 0
     limit: ServerLimit = field(factory=ServerLimit)
+    permits: PermitStock = field(factory=PermitStock)
 
 
 @define(eq=False)
@@ -141,6 +144,8 @@
             name; they outlast the view of a server whose entry lapses.
         notices: Notices of servers, by name and start time in Unix
             milliseconds.
+        limited: Servers with a limit in force, by name and start time (an
+            ordered set).
         usable: Names of the servers that may get work, by service and region.
         evacuated: Zones that get no new work.
         spills: Spill state by service.
@@ -163,6 +168,7 @@
     unreachable_at: dict[str, Nanoseconds] = field(factory=dict)
     send_times: dict[str, deque[Nanoseconds]] = field(factory=dict)
     notices: dict[tuple[str, int], Notice] = field(factory=dict)
+    limited: dict[tuple[str, int], None] = field(factory=dict)
     usable: dict[tuple[str, str], tuple[str, ...]] = field(factory=dict)
     evacuated: frozenset[str] = frozenset()
     spills: dict[str, SpillState] = field(factory=dict)
--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -28,6 +28,8 @@
             which requests that will be late give way to others.
         late_part: Load of a server, as a fraction of its slots, below which
             such a request still starts in a crowded region.
+        keeps_server_limits: Whether servers get no more requests than the limit
+            that they name.
     """
 
     work_weight: float = 1
@@ -35,6 +37,7 @@
     tells_warm_by_time: bool = True
     crowded_above: float = 0.9
     late_part: float = 0.3
+    keeps_server_limits: bool = True
 
 
 DEFAULT_POLICIES: Final = Policies()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -111,6 +111,7 @@
                 self._fleet.notices.handle_response,
             ),
             self._fleet.tokens,
+            self._fleet.permits,
             clock,
             self._random,
             LoadingGate(self._state, self._will_load, clock),
@@ -142,7 +143,9 @@
             ),
             FrontServer(MetricsPage(metrics).serve, _INITIAL_IDLE_TIMEOUT_S),
         )
-        self._health_checker = HealthChecker(self._state, codec, clock)
+        self._health_checker = HealthChecker(
+            self._state, codec, clock, self._fleet.limits.record
+        )
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._spills = SpillController(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -19,9 +19,12 @@
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.heartbeats import Heartbeats
 from geraniumshelf_daemon.edge.interface import PlatformStore
+from geraniumshelf_daemon.edge.limit_owners import LimitOwners
 from geraniumshelf_daemon.edge.notices import ServerNotices
 from geraniumshelf_daemon.edge.owners import OwnerView
+from geraniumshelf_daemon.edge.permits import ServerPermits
 from geraniumshelf_daemon.edge.registry import Registry
+from geraniumshelf_daemon.edge.server_limits import ServerLimits
 from geraniumshelf_daemon.edge.settings import EdgeSettings
 from geraniumshelf_daemon.edge.share_exchange import ShareExchange
 from geraniumshelf_daemon.edge.state import EdgeState
@@ -39,6 +42,8 @@
         heartbeats: Sends and receives heartbeats.
         tokens: Grants tokens of client accounts to requests.
         notices: Applies what backend servers report of themselves.
+        limits: Knows the limits that backend servers name.
+        permits: Obtains permits for requests under these limits.
 
     Args:
         settings: Settings of this daemon.
@@ -92,6 +97,29 @@
             owners.has_other_owner,
         )
         self._port.register(TokenGrant, self.tokens.receive_grant)
+        limit_owners = LimitOwners(
+            state.placement,
+            self.presence,
+            self.own_heartbeat,
+            settings.regions,
+        )
+        self.limits = ServerLimits(
+            state.placement,
+            self.presence,
+            limit_owners,
+            self._port,
+            clock,
+            random,
+        )
+        self.permits = ServerPermits(
+            state.placement,
+            self.presence,
+            limit_owners,
+            self.limits,
+            self._port,
+            self.own_heartbeat,
+            clock,
+        )
         self.notices = ServerNotices(
             state.placement,
             self.presence,
@@ -99,6 +127,7 @@
             settings.regions,
             self._port,
             clock,
+            self.limits,
         )
 
     def own_heartbeat(self) -> PresenceHeartbeat:
@@ -138,6 +167,7 @@
             self.heartbeats.run,
             self._share_exchange.run,
             self._token_exchange.run,
+            self.limits.run,
             registry.run,
         )
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/health_checks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/health_checks.py
@@ -10,6 +10,7 @@
     choose_checks,
     record_health,
 )
+from geraniumshelf_core.placement.server_limits import LimitStatement
 from geraniumshelf_core.placement.state import ServerView
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.connections import CONNECT_TIMEOUT_NS
@@ -37,6 +38,8 @@
         state: Holds the servers and the configuration.
         codec: Reads the headers of responses.
         clock: Returns the current time, nanoseconds.
+        record_limit: Records what the response to a check that began at a time
+            says about a limit of the server.
     """
 
     def __init__(
@@ -44,8 +47,10 @@
         state: EdgeState,
         codec: HeaderCodec,
         clock: Callable[[], Nanoseconds],
+        record_limit: Callable[[ServerView, LimitStatement, Nanoseconds], None],
     ) -> None:
         self._state = state
+        self._record_limit = record_limit
         self._codec = codec
         self._clock = clock
         # One connection for each server: its checks follow each other.
@@ -73,6 +78,7 @@
         if path is None:
             return
         count_metric(Metric.HEALTH_CHECKS)
+        began_at = self._clock()
         try:
             async with asyncio.timeout(_TIMEOUT_S):
                 status, fields = await self._fetch(view.server.address, path)
@@ -82,6 +88,7 @@
         self._failing.discard(view.server.name)
         if fields.server_name != view.server.name:
             return
+        self._record_limit(view, fields.limit, began_at)
         if fields.cold_left or status == _OK:
             record_health(view, fields.cold_left, self._clock())
         if fields.cold_left:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -7,6 +7,7 @@
 
 from geraniumshelf_core.history.eras import StoreRevision
 from geraniumshelf_core.placement.notices import DepartureNotice
+from geraniumshelf_core.placement.server_limits import LimitNotice
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
     ShareLoan,
@@ -16,6 +17,7 @@
     WholeShareLoan,
     WholeShareRequest,
 )
+from geraniumshelf_core.shares.permits import PermitGrant, PermitRequest
 
 _FORMAT_VERSION: Final = 6
 Message = (
@@ -27,6 +29,9 @@
     | TokenRequest
     | TokenGrant
     | DepartureNotice
+    | LimitNotice
+    | PermitRequest
+    | PermitGrant
 )
 
 # The index of a type in this tuple identifies it in datagrams.
@@ -39,6 +44,9 @@
     TokenRequest,
     TokenGrant,
     DepartureNotice,
+    LimitNotice,
+    PermitRequest,
+    PermitGrant,
 )
 _NUMBER: Final = (int, float)
 _FIELD_TYPES: Final = {
@@ -69,6 +77,9 @@
     TokenRequest: (str, int, str, int),
     TokenGrant: (int, str, int, int),
     DepartureNotice: (str, int),
+    LimitNotice: (str, int, (int, float, type(None)), int),
+    PermitRequest: (str, int, str, int, _NUMBER, int, int),
+    PermitGrant: (str, int, str, int, int, int),
 }
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -41,8 +41,12 @@
     retry_delay_s,
     run_outcome,
 )
+from geraniumshelf_daemon.edge.permits import ServerPermits
 from geraniumshelf_daemon.edge.routed_request import RoutedRequest, route_caller
-from geraniumshelf_daemon.edge.server_selection import ServerSelector
+from geraniumshelf_daemon.edge.server_selection import (
+    ServerSelector,
+    make_placement_request,
+)
 from geraniumshelf_daemon.edge.state import EdgeState, RequestProgress
 from geraniumshelf_daemon.edge.tokens import AccountTokens
 from geraniumshelf_daemon.front.caller import Caller
@@ -72,6 +76,7 @@
         state: EdgeState,
         dependencies: AttemptDependencies,
         tokens: AccountTokens,
+        permits: ServerPermits,
         clock: Callable[[], Nanoseconds],
         random: Random,
         gate: LoadingGate,
@@ -82,6 +87,7 @@
         self._clock = clock
         self._random = random
         self._tokens = tokens
+        self._permits = permits
         self._selector = ServerSelector(state, clock, random)
         self._pacer = LinkPacer('', clock)
 
@@ -167,7 +173,9 @@
     ) -> tuple[ServerAttempt, ServerResponse]:
         excluded: frozenset[str] = frozenset()
         while True:
-            choice = self._selector.select(request, excluded, progress)
+            query = make_placement_request(request, excluded)
+            await self._permits.acquire(query)
+            choice = self._selector.select(request, query, progress)
             progress.server = choice.view.server.name
             try:
                 return await self._try_server(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -15,6 +15,7 @@
     eject_if_silent,
     record_need,
 )
+from geraniumshelf_core.placement.limited_servers import use_permit
 from geraniumshelf_core.placement.queries import (
     choose_server,
     is_crowded,
@@ -92,14 +93,14 @@
     def select(
         self,
         request: RoutedRequest,
-        excluded: frozenset[str],
+        query: PlacementRequest,
         progress: RequestProgress,
     ) -> Candidate:
         """Return the server for a request.
 
         Args:
             request: The request.
-            excluded: Names of servers that have already been tried.
+            query: What a server is selected for.
             progress: Progress of the request; its inputs are set on rejection.
 
         Raises:
@@ -107,9 +108,6 @@
                 can respond in time.
         """
         now = self._clock()
-        query = PlacementRequest(
-            request.service, request.object_name, request.regions, excluded
-        )
         placement = self._state.placement
         record_need(placement, query, now)
         choice = choose_server(placement, query, now)
@@ -163,6 +161,10 @@
             raise _ineligible_server(
                 choice, 'may be cold and receive no request now'
             )
+        if not use_permit(choice.view, now):
+            raise _ineligible_server(
+                choice, 'has named a limit and there is no permit for it now'
+            )
         if progress.attempts or now - chosen_at <= _TOKEN_LIFETIME_NS:
             return
         if not take_token(self._state.quotas, request.account_name, now):
@@ -221,11 +223,8 @@
             return False
         alternative = choose_server(
             self._state.placement,
-            PlacementRequest(
-                request.service,
-                request.object_name,
-                request.regions,
-                frozenset((choice.view.server.name,)),
+            make_placement_request(
+                request, frozenset((choice.view.server.name,))
             ),
             now,
         )
@@ -258,6 +257,20 @@
         )
 
 
+def make_placement_request(
+    request: RoutedRequest, excluded: frozenset[str]
+) -> PlacementRequest:
+    """Return what a server is selected for.
+
+    Args:
+        request: The request.
+        excluded: Names of servers that have already been tried.
+    """
+    return PlacementRequest(
+        request.service, request.object_name, request.regions, excluded
+    )
+
+
 def _ineligible_server(choice: Candidate, reason: str) -> AttemptFailed:
     return AttemptFailed(
         ResultCode.NO_BACKEND_SERVER,
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -31,6 +31,9 @@
     HEALTH_CHECKS = 'health_checks'
     LIMITS_NAMED = 'limits_named'
     LIMITS_UNREADABLE = 'limits_unreadable'
+    LIMITED_SERVERS = 'limited_servers'
+    PERMITS_REQUESTED = 'permits_requested'
+    PERMITS_GRANTED = 'permits_granted'
     CONNECTIONS_SILENT = 'connections_silent'
     UPSTREAM_CONNECTIONS = 'upstream_connections'
 
--- a/tools/emulator/daemons.py
+++ b/tools/emulator/daemons.py
@@ -22,10 +22,15 @@
     set_evacuated,
     set_initial_work,
 )
+from geraniumshelf_core.placement.limited_servers import (
+    has_permit,
+    use_permit,
+)
 from geraniumshelf_core.placement.notices import record_pause
 from geraniumshelf_core.placement.queries import (
     choose_server,
     is_crowded,
+    servers_without_permit,
     time_until_available,
 )
 from geraniumshelf_core.placement.spills import adjust_spills
@@ -42,6 +47,7 @@
     seconds_to_ns,
 )
 from tools.emulator.experiment import Experiment, Kind
+from tools.emulator.peers import LimitPeer
 from tools.emulator.servers import RunResult, Server
 
 # Largest change of a service's spilled fraction between two adjustments, and
@@ -75,11 +81,13 @@
         zone: Zone of the daemon.
         state: Its view of the servers.
         is_up: Whether it accepts requests.
+        peer: Its part in the exchange of limits and permits.
     """
 
     zone: int
     state: PlacementState
     is_up: bool = True
+    peer: LimitPeer | None = None
 
     def admit(
         self,
@@ -128,6 +136,40 @@
         """Record that a request is sent to a server."""
         begin_request(self.state, candidate.view)
         record_send(candidate.view, now)
+        use_permit(candidate.view, now)
+
+    def request_permit(
+        self,
+        kind: Kind,
+        name: str,
+        excluded: frozenset[str],
+        now: Nanoseconds,
+    ) -> bool:
+        """Request a permit for the first server that a request prefers.
+
+        Args:
+            kind: Kind of the request.
+            name: Name of the requested object.
+            excluded: Servers that have already received the request.
+            now: Current time.
+
+        Returns:
+            Whether the reply is worth waiting for.
+        """
+        if not self.state.limited or self.peer is None:
+            return False
+        request = PlacementRequest(
+            kind.service, f'{kind.name}/{name}', excluded=excluded
+        )
+        for view in tuple(servers_without_permit(self.state, request, now)):
+            view.notice.permits.needs += 1
+            if has_permit(view, now):
+                return False
+            if self.peer.permits.request(view, now):
+                return True
+            if has_permit(view, now):
+                return False
+        return False
 
     def record_completion(
         self,
@@ -163,6 +205,10 @@
             record_report(
                 candidate.view, result.running_count, result.queued_count, now
             )
+        if result is not None and self.peer is not None:
+            self.peer.limits.record(
+                candidate.view, result.limit, now - max(0, work)
+            )
         if result is not None and result.pause_s:
             record_pause(candidate.view, seconds_to_ns(result.pause_s), now)
 
--- a/tools/emulator/events.py
+++ b/tools/emulator/events.py
@@ -6,6 +6,7 @@
 
 from tools.emulator.daemons import make_placement_state
 from tools.emulator.experiment import Event
+from tools.emulator.limit_statistics import LimitEvent
 from tools.emulator.servers import Server
 
 if TYPE_CHECKING:
@@ -38,6 +39,8 @@
             _flap(simulation, event)
         case 'power':
             _power(simulation, event)
+        case 'limit':
+            _limit(simulation, event)
         case 'burst':
             _burst(simulation, event)
         case 'hot_object':
@@ -54,7 +57,7 @@
         for server in simulation.servers.values()
         if event.zone in {-1, server.zone}
     ]
-    count = round(len(servers) * event.share)
+    count = max(1, round(len(servers) * event.share))
     return simulation.random.sample(servers, count)
 
 
@@ -156,6 +159,18 @@
     simulation.schedule(event.for_s + _LIST_LOADING_S, restart)
 
 
+def _limit(simulation: Simulation, event: Event) -> None:
+    """Let servers name a limit of their rate in their answers."""
+    for server in _choose_servers(simulation, event):
+        server.rate_limit = event.x
+        simulation.limit_events.append(LimitEvent(server, event))
+
+        def end(server: Server = server) -> None:
+            server.rate_limit = None
+
+        simulation.schedule(event.for_s, end)
+
+
 def _burst(simulation: Simulation, event: Event) -> None:
     zones = (
         [event.zone]
--- a/tools/emulator/experiment.py
+++ b/tools/emulator/experiment.py
@@ -100,13 +100,14 @@
     Attributes:
         at: Time from the start of traffic, seconds.
         kind: ``evacuate``, ``leave``, ``slow``, ``grey``, ``flap``, ``power``,
-            ``burst``, ``shift`` or ``hot_object``.
+            ``burst``, ``shift``, ``hot_object`` or ``limit``.
         for_s: Time until the event ends, seconds.
-        share: Fraction of the servers that are affected. Fraction of the
-            callers that move for ``shift``, and of the requests that are for
-            the first object for ``hot_object``.
+        share: Fraction of the servers that are affected, at least one.
+            Fraction of the callers that move for ``shift``, and of the requests
+            that are for the first object for ``hot_object``.
         x: Factor on the work time for ``slow`` and on the demand for
-            ``burst``; fraction of failed requests for ``grey``.
+            ``burst``; fraction of failed requests for ``grey``; requests per
+            second that the servers name for ``limit``.
         zone: Index of the affected zone; -1 for all zones.
         to_zone: Index of the zone to which callers move for ``shift``.
     """
--- a/tools/emulator/servers.py
+++ b/tools/emulator/servers.py
@@ -7,6 +7,11 @@
 
 from attrs import define, field, frozen
 
+from geraniumshelf_core.placement.server_limits import (
+    LimitStatement,
+    NamedLimit,
+    NoLimit,
+)
 from tools.emulator.experiment import Kind, Service
 
 # A cold server crashes above this multiple of the rate that it sustains.
@@ -26,6 +31,7 @@
         running_count: Requests that the server runs at this time.
         queued_count: Requests that the server queues at this time.
         pause_s: ``Retry-After`` of the server, seconds; 0 for none.
+        limit: What the answer says about a limit of the server.
     """
 
     is_executed: bool
@@ -34,6 +40,7 @@
     running_count: int
     queued_count: int
     pause_s: float = 0
+    limit: LimitStatement = field(factory=NoLimit)
 
 
 FinishCallback = Callable[[RunResult], None]
@@ -74,6 +81,9 @@
         start_count: Number of starts; work from before a restart is lost.
         cold_until: End of the cold start, seconds.
         busy_slot_s: Sum of the work of all slots, seconds.
+        rate_limit: Limit that its answers name, requests per second; ``None``
+            for none.
+        arrivals: Times of the requests while it named a limit, seconds.
     """
 
     name: str
@@ -89,6 +99,8 @@
     start_count: int = 1
     cold_until: float = 0
     busy_slot_s: float = 0
+    rate_limit: float | None = None
+    arrivals: list[float] = field(factory=list)
     running_count: int = 0
     _queue: deque[Job] = field(factory=deque)
     _warm_objects: OrderedDict[tuple[str, str], None] = field(
@@ -104,6 +116,8 @@
         """
         if not self.is_up:
             return False
+        if self.rate_limit is not None:
+            self.arrivals.append(self.clock())
         if self._should_crash():
             self.stop()
             return False
@@ -186,4 +200,7 @@
             self.running_count,
             len(self._queue),
             pause_s,
+            NoLimit()
+            if self.rate_limit is None
+            else NamedLimit(self.rate_limit),
         )
--- a/tools/emulator/simulation.py
+++ b/tools/emulator/simulation.py
@@ -17,6 +17,7 @@
 )
 from tools.emulator.events import apply_event
 from tools.emulator.experiment import Experiment
+from tools.emulator.limit_statistics import LimitEvent, summarize_limits
 from tools.emulator.outcome_statistics import (
     FAILED,
     LATE,
@@ -25,6 +26,7 @@
     REFUSED,
     OutcomeStatistics,
 )
+from tools.emulator.peers import make_peers
 from tools.emulator.servers import Job, RunResult, Server
 
 # Daemons read this time at the start, because a boot clock does not start at 0.
@@ -33,6 +35,10 @@
 _CALLER_ROUND_TRIP_S: Final = 0.016
 # A daemon sends a request to this many servers at most.
 _MAX_ATTEMPTS: Final = 2
+# A daemon that waits for permits goes on this long after the round trip.
+_REPLY_MARGIN_S: Final = 0.001
+# Shortest interval in which a daemon repeats what it knows of limits.
+LIMIT_INTERVAL_S: Final = 0.15
 # Requests in flight at the end of the traffic have this time to complete.
 _COMPLETION_S: Final = 5
 
@@ -48,12 +54,15 @@
         daemons: All daemons.
         statistics: Outcomes of the requests.
         demand_factors: Factor on the demand of each zone.
+        limit_events: Servers that have named a limit.
     """
 
     def __init__(self, experiment: Experiment, seed: int) -> None:
         self.now = float(0)
         self.experiment = experiment
         self.random = Random(seed)
+        # Requests are the same whether or not daemons exchange limits.
+        self._jitter_random = Random(seed)
         self.statistics = OutcomeStatistics()
         self.demand_factors = [1.0] * experiment.zone_count
         self._event_queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -64,6 +73,9 @@
             for zone in range(experiment.zone_count)
             for _ in range(experiment.daemons)
         ]
+        self.limit_events: list[LimitEvent] = []
+        for daemon, peer in zip(self.daemons, make_peers(self), strict=True):
+            daemon.peer = peer
         self.arrivals = Arrivals(experiment, self.random)
 
     def run(self) -> dict[str, Any]:
@@ -78,17 +90,21 @@
         for zone in range(self.experiment.zone_count):
             self._schedule_arrival(zone)
         self._adjust_spills()
+        for daemon in self.daemons:
+            self._step_limits(daemon)
         end_time = self.experiment.seconds + _COMPLETION_S
         while self._event_queue and self._event_queue[0][0] <= end_time:
             self.now, _, action = heappop(self._event_queue)
             action()
         seconds = self.experiment.seconds
-        return self.statistics.summarize(
+        summary = self.statistics.summarize(
             {
                 server.name: server.busy_slot_s / seconds / server.service.slots
                 for server in self.servers.values()
             }
         )
+        summary['limits'] = summarize_limits(self.limit_events)
+        return summary
 
     def schedule(self, after_s: float, action: Callable[[], None]) -> None:
         """Call a function after a number of seconds."""
@@ -125,6 +141,15 @@
         if self.now < self.experiment.seconds:
             self.schedule(SPILL_INTERVAL_S, self._adjust_spills)
 
+    def _step_limits(self, daemon: Daemon) -> None:
+        assert daemon.peer is not None
+        daemon.peer.limits.step(self.now_ns())
+        if self.now < self.experiment.seconds:
+            self.schedule(
+                LIMIT_INTERVAL_S * (1 + self._jitter_random.random()),
+                lambda: self._step_limits(daemon),
+            )
+
     def _schedule_arrival(self, zone: int) -> None:
         wait, request = self.arrivals.draw(
             zone, self.now, self.demand_factors[zone]
@@ -151,9 +176,23 @@
         daemon = self.random.choice(daemons)
         self.schedule(
             _CALLER_ROUND_TRIP_S / 2,
-            lambda: self._dispatch(request, daemon, frozenset()),
+            lambda: self._place(request, daemon, frozenset()),
         )
 
+    def _place(
+        self, request: Request, daemon: Daemon, excluded: frozenset[str]
+    ) -> None:
+        """Dispatch a request, after a wait for a permit if it needs one."""
+        wait_s = 0.0
+        if daemon.request_permit(
+            request.kind, request.name, excluded, self.now_ns()
+        ):
+            wait_s = 2 * self.experiment.zone_ms / 1000 + _REPLY_MARGIN_S
+        if not wait_s:
+            self._dispatch(request, daemon, excluded)
+            return
+        self.schedule(wait_s, lambda: self._dispatch(request, daemon, excluded))
+
     def _dispatch(
         self, request: Request, daemon: Daemon, excluded: frozenset[str]
     ) -> None:
@@ -192,7 +231,7 @@
         sent_at = self.now
         name = candidate.view.server.name
         server = self.servers[name]
-        delay_s = self._one_way_delay_s(daemon.zone, server.zone)
+        delay_s = self.one_way_delay_s(daemon.zone, server.zone)
 
         def finish(result: RunResult) -> None:
             if result.is_executed:
@@ -228,7 +267,7 @@
                 attempted_servers = excluded | {name}
                 if len(attempted_servers) < _MAX_ATTEMPTS:
                     self.statistics.event_counts['repeated'] += 1
-                    self._dispatch(request, daemon, attempted_servers)
+                    self._place(request, daemon, attempted_servers)
                     return
             self._retry_or_finish(request, 0.3, is_refused=has_not_run)
 
@@ -239,7 +278,8 @@
 
         self.schedule(delay_s, arrive_at_server)
 
-    def _one_way_delay_s(self, zone: int, other: int) -> float:
+    def one_way_delay_s(self, zone: int, other: int) -> float:
+        """Return the network delay between two zones, seconds."""
         experiment = self.experiment
         if experiment.region_of(zone) != experiment.region_of(other):
             return experiment.region_ms / 1000
