Refuse requests that a planned stop would abort

What callers saw (a report of other operators, shown here by a test): requests that came late in the grace period of a planned stop were sent to a server and cut without an answer at its end, among them requests that may not run twice.

Cause: a stopping daemon placed requests as always, and aborted all that were in flight at the end of the grace period. A request whose body was still coming was sent on at once, so that its work began with the last byte, whenever that came.

Why this works: the daemon knows what is left of the grace period, and how long the server works on a cold object. While the daemon stops, a body is received whole before the request is sent on; one that is too long to be kept is refused.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -189,15 +189,16 @@
     async def stop(self) -> None:
         """Drain callers and their requests, then close everything."""
         started_at = self._clock()
+        grace_time = round(self._settings.bounds.grace_period * _GRACE_FRACTION)
         self._state.is_stopping = True
+        self._state.abort_at = started_at + grace_time
         self._fleet.heartbeats.announce(is_ready=False, is_standby=False)
         self._listeners.front.stop_keep_alive()
         await asyncio.sleep(_LEAVE_NOTICE_S)
         self._listeners.front.stop_accepting()
-        grace_time = round(self._settings.bounds.grace_period * _GRACE_FRACTION)
         # Connections are counted instead of tasks: a request that was just
         # read may not have a running task yet.
-        while self._close_idle() and self._clock() - started_at < grace_time:
+        while self._close_idle() and self._clock() < self._state.abort_at:
             await asyncio.sleep(_DRAIN_POLL_S)
         await self.close()
         log_event(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -30,6 +30,7 @@
     ServerResponse,
 )
 from geraniumshelf_daemon.edge.delivery import relay_response
+from geraniumshelf_daemon.edge.grace import collect_body
 from geraniumshelf_daemon.edge.interface import CallerFields
 from geraniumshelf_daemon.edge.loading import LoadingGate
 from geraniumshelf_daemon.edge.log_budget import log_request
@@ -139,6 +140,7 @@
         time_left = max(0, request.deadline - now)
         try:
             async with asyncio.timeout(ns_to_seconds(time_left)) as scope:
+                await collect_body(self._state, upload, progress, now)
                 attempt, response = await self._obtain_response(
                     caller, request, upload, progress
                 )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -37,6 +37,7 @@
     Nanoseconds,
     ns_to_seconds,
 )
+from geraniumshelf_daemon.edge.grace import fits_in_grace, make_stop_refusal
 from geraniumshelf_daemon.edge.routed_request import RoutedRequest
 from geraniumshelf_daemon.edge.state import EdgeState, RequestProgress
 from geraniumshelf_daemon.upstream.progress import AttemptFailed
@@ -123,6 +124,8 @@
         )
         match verdict:
             case Admitted(admitted):
+                if not fits_in_grace(self._state, admitted, now):
+                    raise make_stop_refusal(progress)
                 return admitted
             case Rejected(retry_after):
                 progress.inputs = _describe(choice, request.deadline - now, now)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -32,6 +32,8 @@
         last_request_at: Time of the last request of a caller, 0 for none.
         request_count: Number of requests of callers since the start.
         is_stopping: Whether a graceful shutdown has begun.
+        abort_at: Time at which it aborts the requests in flight, ``None``
+            before it has begun.
         versions: Configuration versions of this and the other daemons.
     """
 
@@ -46,6 +48,7 @@
     last_request_at: Nanoseconds = 0
     request_count: int = 0
     is_stopping: bool = False
+    abort_at: Nanoseconds | None = None
     versions: VersionState = field(factory=VersionState)
 
     @property
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/upload.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/upload.py
@@ -47,6 +47,23 @@
         """Return whether the body can be sent again from its beginning."""
         return self._can_replay
 
+    async def collect(self, timeout_s: float) -> bool:
+        """Receive the whole body before it is sent.
+
+        Args:
+            timeout_s: Maximum time between two chunks, seconds.
+
+        Returns:
+            Whether the body is complete; a longer one cannot be kept.
+
+        Raises:
+            RequestRefused: ``CALLER_SILENT`` if the caller stopped sending.
+            OSError: If the connection to the caller was closed.
+        """
+        while self._can_replay and not self._is_complete:
+            await self._receive_chunk(timeout_s)
+        return self._is_complete and self._can_replay
+
     async def send(
         self, exchange: Exchange, link_flow: LinkFlow, progress: Progress
     ) -> None:
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -129,7 +129,7 @@
             **{name.replace('_', '-'): text for name, text in extra.items()},
         }
         if body:
-            headers['Content-Length'] = str(len(body))
+            headers.setdefault('Content-Length', str(len(body)))
         lines = [f'{method} {target} HTTP/1.1']
         lines.extend(f'{name}: {text}' for name, text in headers.items())
         self.writer.write('\r\n'.join((*lines, '', '')).encode() + body)
