Show the limits in force, and end them by runs only

Operators had the events and metrics of limits, but no list of those in force: the metrics address now also serves /status, which names server, rate and owner.

Read while testing: a rejection or a health response without the word ended a limit, though only the responses to runs are sure to name it; they may still name one. The owner repeated the limit of a server that is gone for ever, and a daemon kept its owners from a time when it did not list the server.

--- a/packages/core/src/geraniumshelf_core/placement/notices.py
+++ b/packages/core/src/geraniumshelf_core/placement/notices.py
@@ -61,6 +61,7 @@
         is_listed = view and view.server.started_at_ms == started_at_ms
         if key != newest and not is_listed:
             del state.notices[key]
+            state.limited.pop(key, None)
             return
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -141,10 +141,13 @@
             FrontServer(
                 ReadyCheck(self._is_ready).serve, _INITIAL_IDLE_TIMEOUT_S
             ),
-            FrontServer(MetricsPage(metrics).serve, _INITIAL_IDLE_TIMEOUT_S),
+            FrontServer(
+                MetricsPage(metrics, self._fleet.read_status).serve,
+                _INITIAL_IDLE_TIMEOUT_S,
+            ),
         )
         self._health_checker = HealthChecker(
-            self._state, codec, clock, self._fleet.limits.record
+            self._state, codec, clock, self._fleet.limits
         )
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
--- a/packages/daemon/src/geraniumshelf_daemon/edge/directory.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/directory.py
@@ -1,8 +1,8 @@
-"""HTTP handlers for entry look-ups, readiness checks and metrics."""
+"""HTTP handlers for entry look-ups, readiness checks, metrics and status."""
 
 import json
 from collections.abc import Callable, Mapping
-from typing import Final
+from typing import Any, Final
 from urllib.parse import parse_qs
 
 from tornado.httputil import HTTPHeaders
@@ -19,6 +19,8 @@
 
 RESOLVE_PATH: Final = '/resolve'
 READY_PATH: Final = '/ready'
+# On the address of the metrics.
+STATUS_PATH: Final = '/status'
 
 # A caller learns that a daemon has stopped when its cached response expires, or
 # earlier from a refused connection. A shorter time to live causes more look-ups
@@ -99,13 +101,30 @@
 
 
 class MetricsPage:
-    """Serves the counters and histograms as text."""
+    """Serves the metrics as text, and the status of the daemon as JSON.
 
-    def __init__(self, metrics: PrometheusMetrics) -> None:
+    Args:
+        metrics: Counters and histograms.
+        read_status: Returns the status.
+    """
+
+    def __init__(
+        self,
+        metrics: PrometheusMetrics,
+        read_status: Callable[[], dict[str, Any]],
+    ) -> None:
         self._metrics = metrics
+        self._read_status = read_status
 
     async def serve(self, caller: Caller) -> None:
-        """Respond to the request of a metrics collector."""
+        """Respond to a metrics collector, or to an operator."""
+        if caller.target.partition('?')[0] == STATUS_PATH:
+            status = json.dumps(self._read_status()).encode()
+            headers = _make_json_headers(status)
+            await caller.response_writer.send_response(
+                _OK, 'OK', headers, status
+            )
+            return
         body = self._metrics.render().encode()
         headers = _make_headers(body, 'text/plain; version=0.0.4')
         await caller.response_writer.send_response(_OK, 'OK', headers, body)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -3,6 +3,7 @@
 import os
 from collections.abc import Awaitable, Callable
 from random import Random
+from typing import Any
 
 from geraniumshelf_core.presence.commands import (
     add_target,
@@ -28,6 +29,7 @@
 from geraniumshelf_daemon.edge.settings import EdgeSettings
 from geraniumshelf_daemon.edge.share_exchange import ShareExchange
 from geraniumshelf_daemon.edge.state import EdgeState
+from geraniumshelf_daemon.edge.status import build_status
 from geraniumshelf_daemon.edge.token_exchange import TokenExchange
 from geraniumshelf_daemon.edge.tokens import AccountTokens
 
@@ -61,6 +63,7 @@
     ) -> None:
         quotas = state.quotas
         self._settings = settings
+        self._state = state
         self._random = random
         self.presence = PresenceState(settings.ip)
         self._port = DatagramPort(settings.peer_port)
@@ -97,7 +100,7 @@
             owners.has_other_owner,
         )
         self._port.register(TokenGrant, self.tokens.receive_grant)
-        limit_owners = LimitOwners(
+        self._limit_owners = LimitOwners(
             state.placement,
             self.presence,
             self.own_heartbeat,
@@ -106,7 +109,7 @@
         self.limits = ServerLimits(
             state.placement,
             self.presence,
-            limit_owners,
+            self._limit_owners,
             self._port,
             clock,
             random,
@@ -114,7 +117,7 @@
         self.permits = ServerPermits(
             state.placement,
             self.presence,
-            limit_owners,
+            self._limit_owners,
             self.limits,
             self._port,
             self.own_heartbeat,
@@ -134,6 +137,12 @@
         """Return the newest heartbeat of this daemon."""
         return self.heartbeats.own_heartbeat
 
+    def read_status(self) -> dict[str, Any]:
+        """Return the status of this daemon, for operators."""
+        return build_status(
+            self._settings.name, self._state, self._limit_owners
+        )
+
     async def listen(self) -> None:
         """Open the socket for datagrams of the other daemons.
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/health_checks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/health_checks.py
@@ -10,11 +10,11 @@
     choose_checks,
     record_health,
 )
-from geraniumshelf_core.placement.server_limits import LimitStatement
 from geraniumshelf_core.placement.state import ServerView
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.connections import CONNECT_TIMEOUT_NS
 from geraniumshelf_daemon.edge.interface import HeaderCodec, HealthFields
+from geraniumshelf_daemon.edge.server_limits import ServerLimits
 from geraniumshelf_daemon.edge.state import EdgeState
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.observability.metric_names import Metric
@@ -38,8 +38,7 @@
         state: Holds the servers and the configuration.
         codec: Reads the headers of responses.
         clock: Returns the current time, nanoseconds.
-        record_limit: Records what the response to a check that began at a time
-            says about a limit of the server.
+        limits: Records what responses say about limits.
     """
 
     def __init__(
@@ -47,10 +46,10 @@
         state: EdgeState,
         codec: HeaderCodec,
         clock: Callable[[], Nanoseconds],
-        record_limit: Callable[[ServerView, LimitStatement, Nanoseconds], None],
+        limits: ServerLimits,
     ) -> None:
         self._state = state
-        self._record_limit = record_limit
+        self._limits = limits
         self._codec = codec
         self._clock = clock
         # One connection for each server: its checks follow each other.
@@ -88,7 +87,7 @@
         self._failing.discard(view.server.name)
         if fields.server_name != view.server.name:
             return
-        self._record_limit(view, fields.limit, began_at)
+        self._limits.record(view, fields.limit, began_at, is_run=False)
         if fields.cold_left or status == _OK:
             record_health(view, fields.cold_left, self._clock())
         if fields.cold_left:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/limit_owners.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/limit_owners.py
@@ -43,9 +43,16 @@
         self._granters: dict[str, Granters | None] = {}
         # Time and region of daemons that were ready when they fell silent.
         self._lost: dict[str, tuple[Nanoseconds, str]] = {}
+        self._updated_at: Nanoseconds = 0
+
+    @property
+    def updated_at(self) -> Nanoseconds:
+        """Return the time of the last update."""
+        return self._updated_at
 
     def update(self, now: Nanoseconds) -> None:
         """Update the daemons that may grant permits."""
+        self._updated_at = now
         ready: dict[str, list[str]] = {}
         peers = self._presence.peers
         heartbeats = (peer.heartbeat for peer in peers.values())
@@ -59,7 +66,7 @@
         if current != self._ready:
             self._record_lost(current, now)
             self._ready = current
-            self._granters = {}
+        self._granters = {}
 
     def granters_of(self, server: str) -> Granters | None:
         """Return the daemons that grant the permits for a server."""
--- a/packages/daemon/src/geraniumshelf_daemon/edge/notices.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/notices.py
@@ -56,7 +56,9 @@
         """Record the notices in the response to a request sent at a time."""
         now = self._clock()
         if not fields.is_misdirected:
-            self._limits.record(view, fields.limit, sent_at)
+            self._limits.record(
+                view, fields.limit, sent_at, is_run=not fields.is_not_run
+            )
         if fields.pause is not None:
             if not is_paused(view, now):
                 log_event(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
@@ -1,4 +1,4 @@
-"""Evaluates the results of attempts for servers, callers and metrics."""
+"""Evaluates the results of attempts for servers, callers, metrics and logs."""
 
 from random import Random
 from typing import Final
@@ -7,7 +7,11 @@
 from geraniumshelf_core.placement.commands import Outcome
 from geraniumshelf_core.placement.queries import looks_warm
 from geraniumshelf_core.placement.state import TypicalWork
-from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
+from geraniumshelf_daemon.edge.log_budget import LogBudget, log_request
+from geraniumshelf_daemon.edge.routed_request import RoutedRequest
+from geraniumshelf_daemon.edge.state import RequestProgress
+from geraniumshelf_daemon.observability.events import Event
 from geraniumshelf_daemon.observability.metric_names import Metric
 from geraniumshelf_daemon.observability.metrics import count_metric
 from geraniumshelf_daemon.upstream.progress import AttemptFailed
@@ -79,6 +83,51 @@
         count_metric(cause)
 
 
+def log_refusal(
+    budget: LogBudget,
+    refusal: RequestRefused,
+    progress: RequestProgress,
+    now: Nanoseconds,
+) -> None:
+    """Log the refusal of a request if the budget allows it."""
+    request = progress.request
+    log_request(
+        budget,
+        Event.REQUEST_REFUSED,
+        refusal.detail,
+        now,
+        code=refusal.code.name,
+        request=request.fields.request_id if request else '',
+        ran=refusal.ran.value,
+        server=progress.server,
+        inputs=progress.inputs,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+def log_progress(
+    budget: LogBudget,
+    event: Event,
+    detail: str,
+    request: RoutedRequest,
+    progress: RequestProgress,
+    now: Nanoseconds,
+) -> None:
+    """Log an event of a routed request if the budget allows it."""
+    log_request(
+        budget,
+        event,
+        detail,
+        now,
+        request=request.fields.request_id,
+        route=request.route.name,
+        service=request.service,
+        server=progress.server,
+        attempts=progress.attempts,
+        age_ms=(now - request.arrived_at) // MILLISECOND_NS,
+    )
+
+
 def make_internal_fault() -> RequestRefused:
     """Return the refusal of a request for an internal error of the daemon."""
     return RequestRefused(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -19,7 +19,6 @@
 from geraniumshelf_core.shares.retries import earn_retries
 from geraniumshelf_core.site.model import Repeatability
 from geraniumshelf_core.units import (
-    MILLISECOND_NS,
     SECOND_NS,
     Nanoseconds,
     ns_to_seconds,
@@ -33,21 +32,23 @@
 from geraniumshelf_daemon.edge.grace import collect_body
 from geraniumshelf_daemon.edge.interface import CallerFields
 from geraniumshelf_daemon.edge.loading import LoadingGate
-from geraniumshelf_daemon.edge.log_budget import log_request
 from geraniumshelf_daemon.edge.outcomes import (
     count_refusal,
     count_run,
     failure_outcome,
+    log_progress,
+    log_refusal,
     make_internal_fault,
     retry_delay_s,
     run_outcome,
 )
 from geraniumshelf_daemon.edge.permits import ServerPermits
-from geraniumshelf_daemon.edge.routed_request import RoutedRequest, route_caller
-from geraniumshelf_daemon.edge.server_selection import (
-    ServerSelector,
+from geraniumshelf_daemon.edge.routed_request import (
+    RoutedRequest,
     make_placement_request,
+    route_caller,
 )
+from geraniumshelf_daemon.edge.server_selection import ServerSelector
 from geraniumshelf_daemon.edge.state import EdgeState, RequestProgress
 from geraniumshelf_daemon.edge.tokens import AccountTokens
 from geraniumshelf_daemon.front.caller import Caller
@@ -272,20 +273,7 @@
             caller.response_writer.abort()
             return
         count_refusal(refusal.code)
-        log_request(
-            self._state.log_budget,
-            Event.REQUEST_REFUSED,
-            refusal.detail,
-            self._clock(),
-            code=refusal.code.name,
-            request=progress.request.fields.request_id
-            if progress.request
-            else '',
-            ran=refusal.ran.value,
-            server=progress.server,
-            inputs=progress.inputs,
-            retry_after_s=refusal.retry_after_s,
-        )
+        log_refusal(self._state.log_budget, refusal, progress, self._clock())
         try:
             await caller.response_writer.refuse(refusal)
         except OSError:
@@ -298,16 +286,11 @@
         request: RoutedRequest,
         progress: RequestProgress,
     ) -> None:
-        now = self._clock()
-        log_request(
+        log_progress(
             self._state.log_budget,
             event,
             detail,
-            now,
-            request=request.fields.request_id,
-            route=request.route.name,
-            service=request.service,
-            server=progress.server,
-            attempts=progress.attempts,
-            age_ms=(now - request.arrived_at) // MILLISECOND_NS,
+            request,
+            progress,
+            self._clock(),
         )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/routed_request.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/routed_request.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from geraniumshelf_core.errors import RequestRefused, ResultCode
+from geraniumshelf_core.placement.state import PlacementRequest
 from geraniumshelf_core.site.model import SiteAccount, SiteRoute
 from geraniumshelf_core.site.routing import (
     RoutingTable,
@@ -51,6 +52,20 @@
         return self.account.name if self.account else ''
 
 
+def make_placement_request(
+    request: RoutedRequest, excluded: frozenset[str]
+) -> PlacementRequest:
+    """Return what a server is selected for.
+
+    Args:
+        request: The request.
+        excluded: Names of servers that have already been tried.
+    """
+    return PlacementRequest(
+        request.service, request.object_name, request.regions, excluded
+    )
+
+
 def route_caller(
     table: RoutingTable | None,
     caller: Caller,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_limits.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_limits.py
@@ -18,6 +18,7 @@
     LimitNotice,
     LimitStatement,
     NamedLimit,
+    NoLimit,
     UnreadableLimit,
 )
 from geraniumshelf_core.placement.state import PlacementState, ServerView
@@ -42,6 +43,8 @@
 _REPEAT_NS: Final[Nanoseconds] = SECOND_NS
 # The end of a limit is repeated for this time.
 _END_REPEAT_NS: Final[Nanoseconds] = 10 * SECOND_NS
+# Interval in which the owners are updated while there is no limit.
+_IDLE_UPDATE_NS: Final[Nanoseconds] = SECOND_NS
 # Number of different unreadable limits that are logged.
 _MAX_LOGGED_LIMITS: Final = 50
 
@@ -103,7 +106,12 @@
             await asyncio.sleep(_INTERVAL_S * jitter)
 
     def record(
-        self, view: ServerView, statement: LimitStatement, sent_at: Nanoseconds
+        self,
+        view: ServerView,
+        statement: LimitStatement,
+        sent_at: Nanoseconds,
+        *,
+        is_run: bool = True,
     ) -> None:
         """Record what the response to a request says about a limit.
 
@@ -111,8 +119,12 @@
             view: The server that responded.
             statement: What its response says.
             sent_at: Time at which the request was sent.
+            is_run: Whether the server ran the request. Rejections and health
+                responses may name a limit, but do not end it.
         """
         match statement:
+            case NoLimit() if not is_run:
+                return
             case UnreadableLimit(text):
                 self._log_unreadable(text)
             case NamedLimit():
@@ -138,8 +150,9 @@
 
     def step(self, now: Nanoseconds) -> None:
         """Send what is due to the other daemons."""
-        self._owners.update(now)
         views = limited_views(self._placement)
+        if views or now - self._owners.updated_at >= _IDLE_UPDATE_NS:
+            self._owners.update(now)
         gauge_metric(Metric.LIMITED_SERVERS, len(views))
         for view in views:
             if self._owners.is_owner(view.server.name):
@@ -169,6 +182,8 @@
 
     def _is_finished(self, publication: _Publication, now: Nanoseconds) -> bool:
         view = publication.view
+        if self._placement.servers.get(view.server.name) is not view:
+            return True
         if publication.version != view.notice.limit.version:
             return False
         ended_at = publication.ended_at
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -38,7 +38,10 @@
     ns_to_seconds,
 )
 from geraniumshelf_daemon.edge.grace import fits_in_grace, make_stop_refusal
-from geraniumshelf_daemon.edge.routed_request import RoutedRequest
+from geraniumshelf_daemon.edge.routed_request import (
+    RoutedRequest,
+    make_placement_request,
+)
 from geraniumshelf_daemon.edge.state import EdgeState, RequestProgress
 from geraniumshelf_daemon.upstream.progress import AttemptFailed
 
@@ -260,20 +263,6 @@
         )
 
 
-def make_placement_request(
-    request: RoutedRequest, excluded: frozenset[str]
-) -> PlacementRequest:
-    """Return what a server is selected for.
-
-    Args:
-        request: The request.
-        excluded: Names of servers that have already been tried.
-    """
-    return PlacementRequest(
-        request.service, request.object_name, request.regions, excluded
-    )
-
-
 def _ineligible_server(choice: Candidate, reason: str) -> AttemptFailed:
     return AttemptFailed(
         ResultCode.NO_BACKEND_SERVER,
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -1,21 +1,31 @@
 """Tests of limits that backend servers name in their responses."""
 
 import asyncio
+import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from random import Random
+from typing import Any
 
+import pytest
 from attrs import define
 from tests.platform.harness import (
+    EdgeHarness,
     connect_to,
     find_free_ports,
     make_configuration,
     make_settings,
     run_scenario,
+    running_harness,
 )
 from tests.platform.server_standin import ReceivedRequest, ServerStandin
 from tests.platform.store_standin import StoreStandin
+from tornado.httputil import HTTPHeaders
 
+from geraniumshelf_core.placement.server_limits import (
+    NamedLimit,
+    UnreadableLimit,
+)
 from geraniumshelf_daemon.edge.daemon import EdgeDaemon
 from geraniumshelf_daemon.edge.settings import EdgeSettings
 from geraniumshelf_platform.headers import PlatformHeaders
@@ -141,3 +151,70 @@
             assert received <= allowed
 
     run_scenario(scenario)
+
+
+def test_operators_see_the_limits_in_force() -> None:
+    """Guard against a server in need that nobody notices."""
+
+    async def scenario() -> None:
+        servers = {name: ServerStandin(name, slots=9) for name in _SERVERS}
+        async with running_harness(servers, make_configuration()) as harness:
+            servers['i-1'].rate_limit = '4.5'
+            caller = await harness.connect()
+            for number in range(_OBJECTS):
+                headers = {'Cookie': f'X-Affinity-Key={number}'}
+                response = await caller.fetch(f'/read/{number}', **headers)
+                assert response.status == 200
+            limit = {
+                'server': 'i-1',
+                'service': 'desk',
+                'zone': 'a1',
+                'rate_per_s': 4.5,
+                'owner': 'n1',
+            }
+
+            async def is_shown() -> bool:
+                return bool(await _read_limits(harness) == [limit])
+
+            await harness.wait_until(is_shown)
+            servers['i-1'].rate_limit = ''
+
+            async def is_over() -> bool:
+                for number in range(_OBJECTS):
+                    headers = {'Cookie': f'X-Affinity-Key={number}'}
+                    await caller.fetch(f'/read/{number}', **headers)
+                return not await _read_limits(harness)
+
+            await harness.wait_until(is_over)
+
+    run_scenario(scenario)
+
+
+async def _read_limits(harness: EdgeHarness) -> Any:
+    page = await connect_to(harness.settings.metrics_address)
+    response = await page.fetch('/status')
+    page.close()
+    return json.loads(response.body)['server_limits']
+
+
+def test_health_response_names_a_limit() -> None:
+    """Guard against a limit that only the health checks could tell."""
+    headers = HTTPHeaders({'X-Instance-Id': 'i-1', 'Server-Limit': '0.5'})
+    assert PlatformHeaders().read_health(headers).limit == NamedLimit(0.5)
+
+
+@pytest.mark.parametrize('status', [200, 429, 500, 503])
+def test_response_of_each_status_names_a_limit(status: int) -> None:
+    """Guard against a server in need whose rejections are not read."""
+    headers = HTTPHeaders({'X-Request-Id': 'r', 'Server-Limit': '5.6'})
+    fields = PlatformHeaders().read_response(status, headers)
+    assert fields.limit == NamedLimit(5.6)
+
+
+def test_two_limits_in_one_response_are_unreadable() -> None:
+    """Guard against a limit that depends on the order of headers."""
+    headers = HTTPHeaders({'X-Request-Id': 'r'})
+    for text in ('5', '6'):
+        headers.add('Server-Limit', text)
+    fields = PlatformHeaders().read_response(200, headers)
+    assert fields.limit == UnreadableLimit('5, 6')
