Announce departures of servers in all regions, and again

The departure now goes to all ready daemons, and is sent again every half second for two seconds.

Found by reading.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -243,6 +243,7 @@
                 await self._standby.update_role(self._state, now)
             self._store_follower.expire_missing(now)
             self._spills.adjust(now)
+            self._fleet.notices.repeat(now)
             self._forwarder.close_unused(now, is_stopping=False)
             update_request_rate(
                 self._request_rate, self._state.request_count, now
--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -126,8 +126,6 @@
         self.notices = ServerNotices(
             state.placement,
             self.presence,
-            self.own_heartbeat,
-            settings.regions,
             self._port,
             clock,
             self.limits,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/notices.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/notices.py
@@ -1,6 +1,9 @@
 """Handles notices of backend servers that pause, leave or name a limit."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define
 
 from geraniumshelf_core.placement.commands import rebuild_usable
 from geraniumshelf_core.placement.notices import (
@@ -10,22 +13,33 @@
     record_pause,
 )
 from geraniumshelf_core.placement.state import PlacementState, ServerView
-from geraniumshelf_core.presence.state import PresenceHeartbeat, PresenceState
-from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
+from geraniumshelf_core.presence.state import PresenceState
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.interface import ResponseFields
 from geraniumshelf_daemon.edge.server_limits import ServerLimits
 from geraniumshelf_daemon.observability.events import Event, log_event
 
+# A departure is announced again in this interval, for this time.
+_REPEAT_INTERVAL_MS: Final = 500
+_REPEAT_INTERVAL_NS: Final[Nanoseconds] = _REPEAT_INTERVAL_MS * MILLISECOND_NS
+_REPEAT_TIME_NS: Final[Nanoseconds] = 2 * SECOND_NS
+
+
+@define
+class _Announcement:
+    """Times of the first and the last message about a departure."""
+
+    first_at: Nanoseconds
+    last_at: Nanoseconds
+
 
 class ServerNotices:
-    """Stops the use of leaving servers and notifies daemons of the region.
+    """Stops the use of leaving servers and notifies the other daemons.
 
     Args:
         placement: Backend servers.
         presence: State of the other daemons.
-        own_heartbeat: Returns the newest heartbeat of this daemon.
-        regions: Region by availability zone.
         port: Sends datagrams to the other daemons.
         clock: Returns the current time, nanoseconds.
         limits: Records what responses say about limits.
@@ -35,19 +49,17 @@
         self,
         placement: PlacementState,
         presence: PresenceState,
-        own_heartbeat: Callable[[], PresenceHeartbeat],
-        regions: Mapping[str, str],
         port: DatagramPort,
         clock: Callable[[], Nanoseconds],
         limits: ServerLimits,
     ) -> None:
         self._placement = placement
         self._presence = presence
-        self._own_heartbeat = own_heartbeat
-        self._regions = regions
         self._port = port
         self._clock = clock
         self._limits = limits
+        # Departures that are announced again, as datagrams may be lost.
+        self._announced: dict[DepartureNotice, _Announcement] = {}
         port.register(DepartureNotice, self._receive_notice)
 
     def handle_response(
@@ -71,7 +83,17 @@
             server = view.server
             notice = DepartureNotice(server.name, server.started_at_ms)
             if self._record(notice):
-                self._notify_region(notice)
+                self._announced[notice] = _Announcement(now, now)
+                self._notify(notice)
+
+    def repeat(self, now: Nanoseconds) -> None:
+        """Announce recent departures again."""
+        for notice, announcement in tuple(self._announced.items()):
+            if now - announcement.first_at > _REPEAT_TIME_NS:
+                del self._announced[notice]
+            elif now - announcement.last_at >= _REPEAT_INTERVAL_NS:
+                announcement.last_at = now
+                self._notify(notice)
 
     def _receive_notice(self, notice: DepartureNotice) -> None:
         self._record(notice)
@@ -83,12 +105,7 @@
             rebuild_usable(self._placement)
         return is_new
 
-    def _notify_region(self, notice: DepartureNotice) -> None:
-        region = self._regions.get(self._own_heartbeat().zone)
+    def _notify(self, notice: DepartureNotice) -> None:
         for peer in self._presence.peers.values():
-            heartbeat = peer.heartbeat
-            if (
-                heartbeat.is_ready
-                and self._regions.get(heartbeat.zone) == region
-            ):
-                self._port.send(heartbeat.ip, notice)
+            if peer.heartbeat.is_ready:
+                self._port.send(peer.heartbeat.ip, notice)
