Plan spills by the room of servers that name limits

Cause: a region kept the homes of all its objects, as the slots of limited servers counted whole when spills were planned.

Why this works: a limited server counts with the slots that its rate can fill, as it does where crowded regions are judged; the plan is made again when a limit changes, and moves objects in the same capped steps as before. Without a limit nothing differs.

--- a/packages/core/src/geraniumshelf_core/placement/spills.py
+++ b/packages/core/src/geraniumshelf_core/placement/spills.py
@@ -63,14 +63,15 @@
     regions = set(state.regions.values())
     services = sorted({service for service, _ in state.usable})
     for service in services:
+        work = typical_work(state, service).warm
         slots = {
             region: sum(
-                state.servers[name].server.slots
+                usable_slots(state.servers[name], work)
                 for name in state.usable.get((service, region), ())
             )
             for region in regions
         }
-        average = sum(slots.values()) / len(regions)
+        average = max(_MIN_SPARE_SLOTS, sum(slots.values()) / len(regions))
         base_fraction = max(0, 1 - slots.get(state.place.region, 0) / average)
         spill = state.spills.get(service)
         if spill is None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_limits.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_limits.py
@@ -21,6 +21,7 @@
     NoLimit,
     UnreadableLimit,
 )
+from geraniumshelf_core.placement.spills import plan_spills
 from geraniumshelf_core.placement.state import PlacementState, ServerView
 from geraniumshelf_core.presence.state import PresenceState
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
@@ -131,6 +132,7 @@
                 count_metric(Metric.LIMITS_NAMED)
         now = self._clock()
         if learn_from_response(self._placement, view, statement, sent_at, now):
+            plan_spills(self._placement)
             self._log_change(view, now)
             key = _key(view)
             if key not in self._publications:
@@ -141,6 +143,7 @@
         """Record what another daemon knows of the limit of a server."""
         now = self._clock()
         if learn_from_daemon(self._placement, notice, now):
+            plan_spills(self._placement)
             view = self._placement.servers.get(notice.server)
             is_listed = (
                 view and view.server.started_at_ms == notice.started_at_ms
--- a/tests/daemon/edge/test_server_limits.py
+++ b/tests/daemon/edge/test_server_limits.py
@@ -207,6 +207,30 @@
     assert fleet.count_between('s0', begin, fleet.now) >= 0.6 * 30 * 5
 
 
+def test_region_of_limited_servers_moves_objects_as_if_they_had_left() -> None:
+    """Guard against a crowded region beside others with room.
+
+    Half of the servers of a region name limits; the slots of its other servers
+    are too few for its objects.
+    """
+    fleet = LimitFleet(6, 12, regions=3)
+    for server in ('s0', 's3'):
+        for node in fleet.nodes.values():
+            view = node.placement.servers[server]
+            node.limits.record(view, NamedLimit(1), fleet.clock())
+    spills = {
+        node.placement.place.region: node.placement.spills['desk']
+        for node in fleet.nodes.values()
+    }
+    assert spills['r0'].base_fraction > 0.3
+    assert spills['r1'].base_fraction == 0
+    for server in ('s0', 's3'):
+        for node in fleet.nodes.values():
+            view = node.placement.servers[server]
+            node.limits.record(view, NoLimit(), fleet.clock())
+    assert spills['r0'].base_fraction == 0
+
+
 def test_rejections_and_health_responses_end_no_limit() -> None:
     """Guard against a limit that ends while the server is in need."""
     fleet = LimitFleet(1, 1)
