--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -98,13 +98,13 @@
             yield state.servers[name]
 
 
-def servers_without_permit(
+def preferred_limited_servers(
     state: PlacementState, request: PlacementRequest, now: Nanoseconds
 ) -> Iterator[ServerView]:
-    """Yield the limited servers that a request prefers but has no permit for.
+    """Yield the limited servers that a request prefers to all others.
 
-    The request is sent to the first other server of the preferred region if it
-    gets no permit for them.
+    They precede the first server without a limit in the preferred region, which
+    the request is sent to if there is no permit for them.
     """
     region = next(region_order(state, request), None)
     names = () if region is None else _ranking(state, request, region)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/permits.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/permits.py
@@ -9,7 +9,7 @@
     make_limit_notice,
 )
 from geraniumshelf_core.placement.notices import get_notice
-from geraniumshelf_core.placement.queries import servers_without_permit
+from geraniumshelf_core.placement.queries import preferred_limited_servers
 from geraniumshelf_core.placement.server_limits import LimitNotice
 from geraniumshelf_core.placement.state import (
     PlacementRequest,
@@ -92,7 +92,7 @@
             return
         now = self._clock()
         end = now + _MAX_WAIT_NS
-        views = servers_without_permit(self._placement, request, now)
+        views = preferred_limited_servers(self._placement, request, now)
         for view in tuple(views):
             view.notice.permits.needs += 1
             if has_permit(view, now) or now >= end:
--- a/tests/core/placement/test_server_limits.py
+++ b/tests/core/placement/test_server_limits.py
@@ -20,7 +20,7 @@
 from geraniumshelf_core.placement.queries import (
     choose_server,
     is_crowded,
-    servers_without_permit,
+    preferred_limited_servers,
     time_until_available,
 )
 from geraniumshelf_core.placement.server_limits import (
@@ -225,14 +225,14 @@
     preferred = {
         view.server.name
         for number in range(20)
-        for view in servers_without_permit(
+        for view in preferred_limited_servers(
             state, PlacementRequest('desk', str(number)), _NOW
         )
     }
     assert preferred == {'s1'}
     assert any(
         not tuple(
-            servers_without_permit(
+            preferred_limited_servers(
                 state, PlacementRequest('desk', str(number)), _NOW
             )
         )
--- a/tests/daemon/edge/limit_harness.py
+++ b/tests/daemon/edge/limit_harness.py
@@ -18,7 +18,7 @@
 from geraniumshelf_core.placement.limited_servers import has_permit, use_permit
 from geraniumshelf_core.placement.queries import (
     choose_server,
-    servers_without_permit,
+    preferred_limited_servers,
 )
 from geraniumshelf_core.placement.server_limits import NamedLimit, NoLimit
 from geraniumshelf_core.placement.state import PlacementRequest, PlacementState
@@ -242,7 +242,7 @@
     def _serve(self, node: LimitNode, object_name: str) -> None:
         request = PlacementRequest('desk', object_name)
         now = self.clock()
-        views = servers_without_permit(node.placement, request, now)
+        views = preferred_limited_servers(node.placement, request, now)
         for view in tuple(views):
             view.notice.permits.needs += 1
             if has_permit(view, now):
--- a/tools/emulator/daemons.py
+++ b/tools/emulator/daemons.py
@@ -30,7 +30,7 @@
 from geraniumshelf_core.placement.queries import (
     choose_server,
     is_crowded,
-    servers_without_permit,
+    preferred_limited_servers,
     time_until_available,
 )
 from geraniumshelf_core.placement.spills import adjust_spills
@@ -161,7 +161,7 @@
         request = PlacementRequest(
             kind.service, f'{kind.name}/{name}', excluded=excluded
         )
-        for view in tuple(servers_without_permit(self.state, request, now)):
+        for view in tuple(preferred_limited_servers(self.state, request, now)):
             view.notice.permits.needs += 1
             if has_permit(view, now):
                 return False
