Show a daemon that hangs while nobody reads its log

Tried: three daemons whose logs go to pipes; the reader of one pauses for 12 s, while a tenant asks 7.5 times its usual for 6.5 s.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -166,8 +166,12 @@
         }
         self._path.write_text(json.dumps(settings))
 
-    def start(self):
-        """Start the process with the command of the deploy file."""
+    def start(self, log=None):
+        """Start the process with the command of the deploy file.
+
+        Args:
+            log: File to which it writes its log; by default one of its own.
+        """
         environment = {
             'PATH': os.environ.get('PATH', ''),
             'HOME': os.environ.get('HOME', ''),
@@ -177,7 +181,7 @@
         }
         self.process = subprocess.Popen(
             read_command(), cwd=ROOT, env=environment,
-            stdin=subprocess.DEVNULL, stdout=self._log, stderr=self._log,
+            stdin=subprocess.DEVNULL, stdout=log or self._log, stderr=self._log,
         )
 
     def signal(self, number):
