--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -293,7 +293,7 @@
         if not (DEPS / 'geraniumshelf_platform').is_dir():
             raise CannotRun('target/deps is missing: run the build first')
         held = asyncio.run(asyncio.wait_for(play(record, temporary), 110))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:
         record.say(f'the case could not run: {type(error).__name__} {error}')
         sys.exit(EXIT_NOT_RUN)
     finally:
