Move the estimates of load and latency out of the choice of a server

queries.py held both the choice and the estimates that it rests on, and had grown over 300 lines. No behaviour changes; the tests of core and edge pass as before.

--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -10,14 +10,13 @@
     needs_checks,
     record_unreachable,
 )
-from geraniumshelf_core.placement.notices import get_notice
-from geraniumshelf_core.placement.queries import (
+from geraniumshelf_core.placement.estimates import (
     estimated_load,
-    is_leaving,
     looks_warm,
-    preferred_servers,
     typical_work,
 )
+from geraniumshelf_core.placement.notices import get_notice
+from geraniumshelf_core.placement.queries import is_leaving, preferred_servers
 from geraniumshelf_core.placement.spills import plan_spills
 from geraniumshelf_core.placement.state import (
     PlacementRequest,
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -13,6 +13,11 @@
 
 from geraniumshelf_core.membership.ranking import rank_names
 from geraniumshelf_core.placement.cold_starts import may_get_request
+from geraniumshelf_core.placement.estimates import (
+    estimated_load,
+    make_candidate,
+    typical_work,
+)
 from geraniumshelf_core.placement.limited_servers import (
     has_permit,
     is_limited,
@@ -20,31 +25,15 @@
 )
 from geraniumshelf_core.placement.notices import is_paused
 from geraniumshelf_core.placement.state import (
-    REPORT_DECAY_NS,
     Candidate,
     PlacementRequest,
     PlacementState,
     ServerView,
     SpillState,
-    TypicalWork,
 )
 from geraniumshelf_core.site.routing import hash_fraction
-from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
-
-# Expected work of a service that has not responded yet.
-_DEFAULT_WARM_MS: Final = 120
-_DEFAULT_WARM_NS: Final[Nanoseconds] = _DEFAULT_WARM_MS * MILLISECOND_NS
-_DEFAULT_COLD_MS: Final = 400
-_DEFAULT_COLD_NS: Final[Nanoseconds] = _DEFAULT_COLD_MS * MILLISECOND_NS
-# Round-trip time between regions; the slowest link of the deployments takes
-# 35 ms one way.
-_REGION_DELAY_MS: Final = 70
-_REGION_DELAY_NS: Final[Nanoseconds] = _REGION_DELAY_MS * MILLISECOND_NS
-# Round-trip time between zones of a region.
-_ZONE_DELAY_NS: Final[Nanoseconds] = 10 * MILLISECOND_NS
-# The slowness of a server halves after each such interval without a response,
-# so that a server that was slow is tried again.
-_SLOWNESS_HALF_LIFE_NS: Final[Nanoseconds] = 2 * SECOND_NS
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+
 _MAX_RANKINGS: Final = 20_000
 # A caller for whom there is no permit retries after this time at the earliest.
 _PERMIT_WAIT_NS: Final[Nanoseconds] = SECOND_NS // 2
@@ -117,34 +106,6 @@
             yield view
 
 
-def estimated_load(view: ServerView, now: Nanoseconds) -> float:
-    """Return the requests that a server runs and queues, by the last report."""
-    if view.reported_at is None:
-        return view.in_flight
-    age = min(now - view.reported_at, REPORT_DECAY_NS)
-    return view.in_flight + view.other_requests * (1 - age / REPORT_DECAY_NS)
-
-
-def typical_work(state: PlacementState, service: str) -> TypicalWork:
-    """Return the average work of a service, or defaults if it is unknown."""
-    known = state.typical_work_times.get(service)
-    return known or TypicalWork(_DEFAULT_WARM_NS, _DEFAULT_COLD_NS)
-
-
-def looks_warm(typical: TypicalWork, work: Nanoseconds) -> bool:
-    """Return whether work was as short as for a warm object.
-
-    The threshold is the geometric mean of the two averages.
-    """
-    return work**2 < typical.warm * typical.cold
-
-
-def slowness(view: ServerView, now: Nanoseconds) -> float:
-    """Return how many times the expected work a server takes."""
-    halvings = min((now - view.last_response_at) / _SLOWNESS_HALF_LIFE_NS, 10)
-    return 1 + (view.slowness - 1) * float(0.5**halvings)
-
-
 def is_crowded(
     state: PlacementState, service: str, region: str, now: Nanoseconds
 ) -> bool:
@@ -218,7 +179,7 @@
         if name in request.excluded or not _is_eligible(state, view, now):
             continue
         is_warm = not has_home or request.object_name in view.warm_objects
-        candidate = _make_candidate(state, view, typical, is_warm, now)
+        candidate = make_candidate(state, view, typical, is_warm, now)
         cost = _cost(state, candidate, now)
         if cost < min_cost:
             best, min_cost = candidate, cost
@@ -226,27 +187,6 @@
     return best
 
 
-def _make_candidate(
-    state: PlacementState,
-    view: ServerView,
-    typical: TypicalWork,
-    is_warm: bool,
-    now: Nanoseconds,
-) -> Candidate:
-    factor = slowness(view, now)
-    slots = max(1, view.server.slots)
-    queued = max(0, estimated_load(view, now) - slots + 1)
-    work = typical.warm if is_warm else typical.cold
-    return Candidate(
-        view,
-        round(queued * typical.warm * factor / slots),
-        round(work * factor),
-        _network_delay(state, view),
-        round(typical.warm),
-        estimated_load(view, now) / slots,
-    )
-
-
 def _cost(
     state: PlacementState, candidate: Candidate, now: Nanoseconds
 ) -> tuple[bool, float]:
@@ -255,12 +195,6 @@
     return candidate.view.full_until > now, candidate.expected_latency + extra
 
 
-def _network_delay(state: PlacementState, view: ServerView) -> Nanoseconds:
-    if view.region != state.place.region:
-        return _REGION_DELAY_NS
-    return 0 if view.server.zone == state.place.zone else _ZONE_DELAY_NS
-
-
 def _is_eligible(
     state: PlacementState, view: ServerView, now: Nanoseconds
 ) -> bool:
--- a/packages/core/src/geraniumshelf_core/placement/spills.py
+++ b/packages/core/src/geraniumshelf_core/placement/spills.py
@@ -7,8 +7,8 @@
 
 from typing import Final
 
+from geraniumshelf_core.placement.estimates import estimated_load, typical_work
 from geraniumshelf_core.placement.limited_servers import usable_slots
-from geraniumshelf_core.placement.queries import estimated_load, typical_work
 from geraniumshelf_core.placement.state import PlacementState, SpillState
 from geraniumshelf_core.units import Nanoseconds
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/grace.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/grace.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from geraniumshelf_core.errors import RequestRefused, ResultCode
-from geraniumshelf_core.placement.queries import slowness, typical_work
+from geraniumshelf_core.placement.estimates import slowness, typical_work
 from geraniumshelf_core.placement.state import Candidate
 from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.edge.state import EdgeState, RequestProgress
--- a/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
@@ -5,7 +5,7 @@
 
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_core.placement.commands import Outcome
-from geraniumshelf_core.placement.queries import looks_warm
+from geraniumshelf_core.placement.estimates import looks_warm
 from geraniumshelf_core.placement.state import TypicalWork
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.log_budget import LogBudget, log_request
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -14,7 +14,7 @@
     end_request,
     record_report,
 )
-from geraniumshelf_core.placement.queries import typical_work
+from geraniumshelf_core.placement.estimates import typical_work
 from geraniumshelf_core.placement.state import Candidate
 from geraniumshelf_core.shares.retries import earn_retries
 from geraniumshelf_core.site.model import Repeatability
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -15,13 +15,13 @@
     eject_if_silent,
     record_need,
 )
+from geraniumshelf_core.placement.estimates import typical_work
 from geraniumshelf_core.placement.limited_servers import use_permit
 from geraniumshelf_core.placement.queries import (
     choose_server,
     is_crowded,
     is_still_eligible,
     time_until_available,
-    typical_work,
 )
 from geraniumshelf_core.placement.state import Candidate, PlacementRequest
 from geraniumshelf_core.shares.quotas import (
--- a/tests/core/placement/test_work.py
+++ b/tests/core/placement/test_work.py
@@ -8,7 +8,7 @@
     end_request,
     set_initial_work,
 )
-from geraniumshelf_core.placement.queries import typical_work
+from geraniumshelf_core.placement.estimates import typical_work
 from geraniumshelf_core.units import SECOND_NS
 
 
