Expect the work of a server by the speed that it reports

Cause: servers that are some times slower for tenths of a second report this in the fourth figure of X-Server-Load, which was not read. Their requests were expected to take the usual time, and their long work counted as slowness for seconds afterwards, as cold objects, and in the average of the service.

Change: the figure is read; the expected work and wait follow it with a weight that falls over 0.6 s of age. Learnt averages use the work at the usual speed, between the speeds at the choice and at the response. A server that is known to be slow is not taken for silent.

Evidence: the header test and the test of the time until a server counts as silent cannot pass before the change, as the figure was dropped.

--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -65,8 +65,8 @@
         is_unreachable: Whether no connection could be opened, or another
             server answered at the address.
         is_shed: Whether the server rejected it because it was full.
-        work: Time until the response, without the network delay; 0 if there was
-            no response.
+        work: Time until the response, without the network delay, at the usual
+            speed of the server; 0 if there was no response.
         object_name: Object that the request concerned.
     """
 
--- a/packages/core/src/geraniumshelf_core/placement/estimates.py
+++ b/packages/core/src/geraniumshelf_core/placement/estimates.py
@@ -4,6 +4,7 @@
 
 from geraniumshelf_core.placement.state import (
     REPORT_DECAY_NS,
+    SPEED_DECAY_NS,
     Candidate,
     PlacementState,
     ServerView,
@@ -55,6 +56,15 @@
     return 1 + (view.slowness - 1) * float(0.5**halvings)
 
 
+def speed_factor(view: ServerView, now: Nanoseconds) -> float:
+    """Return the multiple of the usual time that work takes on a server now.
+
+    The weight of the last reading falls linearly with its age.
+    """
+    age = min(max(0, now - view.speed_at), SPEED_DECAY_NS)
+    return 1 + (view.speed - 1) * (1 - age / SPEED_DECAY_NS)
+
+
 def make_candidate(
     state: PlacementState,
     view: ServerView,
@@ -71,7 +81,8 @@
         is_warm: Whether the object is expected to be warm there.
         now: Current time.
     """
-    factor = slowness(view, now)
+    speed = speed_factor(view, now)
+    factor = slowness(view, now) * speed
     slots = max(1, view.server.slots)
     queued = max(0, estimated_load(view, now) - slots + 1)
     work = typical.warm if is_warm else typical.cold
@@ -82,6 +93,7 @@
         network_delay(state, view),
         round(typical.warm),
         estimated_load(view, now) / slots,
+        speed,
     )
 
 
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -12,11 +12,15 @@
 from geraniumshelf_core.shares.permits import PermitStock
 from geraniumshelf_core.shares.whole_shares import WholeShares
 from geraniumshelf_core.site.model import ListedServer
-from geraniumshelf_core.units import SECOND_NS, Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 
 # The weight of a reported load falls linearly to zero over this time, because
 # a server finishes most of the reported requests within it.
 REPORT_DECAY_NS: Nanoseconds = SECOND_NS
+# The same for a reported speed. Servers of the deployments are slow for 0.6 s
+# at a time.
+_SPEED_DECAY_MS: Final = 600
+SPEED_DECAY_NS: Final[Nanoseconds] = _SPEED_DECAY_MS * MILLISECOND_NS
 _LONG_AGO_S: Final = -3600
 # Stands for the time of what has not happened yet.
 LONG_AGO: Final[Nanoseconds] = _LONG_AGO_S * SECOND_NS
@@ -52,6 +56,9 @@
         other_requests: Requests of other daemons at the time of the last
             report.
         reported_at: Time of the last report, ``None`` before the first.
+        speed: Multiple of the usual time that work took there by its last
+            report, 1 before the first.
+        speed_at: Time at which it sent that report.
         slowness: Smoothed ratio of the times of its responses to the expected
             times.
         last_response_at: Time of the last response.
@@ -81,6 +88,8 @@
     in_flight: int = 0
     other_requests: int = 0
     reported_at: Nanoseconds | None = None
+    speed: float = 1
+    speed_at: Nanoseconds = LONG_AGO
     slowness: float = 1
     last_response_at: Nanoseconds = 0
     failure_rate: float = 0
@@ -151,6 +160,8 @@
         spills: Spill state by service.
         rankings: Cached order of servers by service, region and object.
         typical_work_times: Average work by service.
+        speeds_known_at: Last time at which a server reported its speed, by
+            service.
         has_placed_requests: Whether requests have been placed; from then on
             objects change region only in bounded steps.
         started_at: Time at which this daemon started.
@@ -174,6 +185,7 @@
     spills: dict[str, SpillState] = field(factory=dict)
     rankings: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
+    speeds_known_at: dict[str, Nanoseconds] = field(factory=dict)
     has_placed_requests: bool = False
     started_at: Nanoseconds = LONG_AGO
     list_confirmed_at: Nanoseconds = LONG_AGO
@@ -211,6 +223,8 @@
         slot_turnover: Average time in which each of its slots finishes one
             request.
         load: Requests that it runs and queues, as a fraction of its slots.
+        speed: Multiple of the usual time that work is expected to take there,
+            a part of the expected work.
     """
 
     view: ServerView
@@ -219,6 +233,7 @@
     network_delay: Nanoseconds
     slot_turnover: Nanoseconds = 0
     load: float = 0
+    speed: float = 1
 
     @property
     def expected_latency(self) -> Nanoseconds:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
@@ -51,10 +51,18 @@
 
 @frozen
 class ReportedLoad:
-    """Running and waiting requests of a server when it sent a response."""
+    """Load of a server when it sent a response.
+
+    Attributes:
+        running: Requests that it ran.
+        waiting: Requests that waited for a slot.
+        speed: Multiple of the usual time that work took there, ``None`` if not
+            stated.
+    """
 
     running: int
     waiting: int
+    speed: float | None = None
 
 
 @frozen
--- a/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
@@ -48,7 +48,7 @@
 
     Args:
         status: HTTP status.
-        work: Time until the response, without the network delay.
+        work: Work of the request at the usual speed.
         object_name: Object that the request concerned.
     """
     return Outcome(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -15,6 +15,7 @@
     record_report,
 )
 from geraniumshelf_core.placement.estimates import typical_work
+from geraniumshelf_core.placement.speeds import usual_work
 from geraniumshelf_core.placement.state import Candidate
 from geraniumshelf_core.shares.retries import earn_retries
 from geraniumshelf_core.site.model import Repeatability
@@ -237,7 +238,8 @@
         response = await attempt.send_request(
             caller, self._selector.cap_wait(request, choice, sent_at, progress)
         )
-        work = max(1, self._clock() - sent_at - choice.network_delay)
+        now = self._clock()
+        work = usual_work(choice, now - sent_at - choice.network_delay, now)
         count_run(typical_work(self._state.placement, request.service), work)
         return response, run_outcome(response.status, work, request.object_name)
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -191,6 +191,8 @@
         """
         placement = self._state.placement
         typical = typical_work(placement, request.service).cold
+        # A server that has reported that it is slow is not silent.
+        typical *= max(1, choice.speed)
         silence_limit = max(
             _MIN_SILENCE_NS,
             choice.expected_wait + round(typical * _SILENCE_FACTOR),
--- a/tests/daemon/edge/test_server_selection.py
+++ b/tests/daemon/edge/test_server_selection.py
@@ -24,6 +24,7 @@
     remove_server,
     set_evacuated,
 )
+from geraniumshelf_core.placement.estimates import typical_work
 from geraniumshelf_core.placement.state import Candidate, PlacementState
 from geraniumshelf_core.shares.quotas import (
     AccountQuotas,
@@ -88,20 +89,34 @@
             self.confirm(self.now)
         record_send(self.view, self.now)
 
+    def max_silence_s(self, speed: float) -> float | None:
+        """Return how long to wait for a server that has a speed."""
+        route = evolve(_ROUTE, target_latency=0)
+        candidate = Candidate(self.view, 0, SECOND_NS, 0, speed=speed)
+        request = evolve(_make_request(), route=route)
+        return self._selector.cap_wait(
+            request, candidate, self.now, self.progress
+        )()
+
     def confirm(self, chosen_at: int = _START) -> None:
         """Check token and server as a daemon does before it sends a request."""
-        request = RoutedRequest(
-            _ROUTE,
-            _ACCOUNT,
-            CallerFields('id', 'key', 'object', None),
-            'desk',
-            'object',
-            None,
-            _START,
-            _START + _ROUTE.timeout,
-        )
         candidate = Candidate(self.view, 0, SECOND_NS, 0)
-        self._selector.confirm(request, candidate, self.progress, chosen_at)
+        self._selector.confirm(
+            _make_request(), candidate, self.progress, chosen_at
+        )
+
+
+def _make_request() -> RoutedRequest:
+    return RoutedRequest(
+        _ROUTE,
+        _ACCOUNT,
+        CallerFields('id', 'key', 'object', None),
+        'desk',
+        'object',
+        None,
+        _START,
+        _START + _ROUTE.timeout,
+    )
 
 
 def _drain(selected: _SelectedRequest) -> None:
@@ -130,6 +145,19 @@
     selected.confirm()
 
 
+def test_server_that_is_known_to_be_slow_is_not_taken_for_silent() -> None:
+    """Guard against lost work and an ejection for a slow phase.
+
+    The work of an abandoned attempt is done in vain.
+    """
+    selected = _SelectedRequest()
+    typical = typical_work(selected.state.placement, 'desk').cold
+    usual = selected.max_silence_s(1)
+    assert usual == pytest.approx(2 * typical / SECOND_NS)
+    assert selected.max_silence_s(2.5) == pytest.approx(2.5 * usual)
+    assert selected.max_silence_s(0.5) == usual
+
+
 @pytest.mark.parametrize('change', [_drain, _remove, _restart, _evacuate])
 def test_server_that_left_meanwhile_gets_no_request(
     change: Callable[[_SelectedRequest], None],
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -109,6 +109,31 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('text', 'speed'),
+    [
+        ('3,1,8', None),
+        ('3,1,8,100', 1),
+        ('3,1,8, 250', 2.5),
+        ('3,1,8,37.5,9', 0.375),
+        ('3,1,8,1', 0.01),
+        ('3,1,8,10000', 100),
+        ('3,1,8,', None),
+        ('3,1,8,fast', None),
+        ('3,1,8,0', None),
+        ('3,1,8,-100', None),
+        ('3,1,8,0.9', None),
+        ('3,1,8,10001', None),
+        ('3,1,8,nan', None),
+        ('3,1,8,' + '9' * 5000, None),
+    ],
+)
+def test_speed_of_a_server_is_read(text: str, speed: float | None) -> None:
+    """Guard against a speed that would make a server look idle or stuck."""
+    response = _CODEC.read_response(200, _headers(('X-Server-Load', text)))
+    assert response.load == ReportedLoad(3, 1, speed)
+
+
 def test_health_is_read() -> None:
     """Only health responses report that a server is cold again."""
     found = _CODEC.read_health(
