Exchange readings of servers between daemons

Cause: a daemon gets a response from a given server about every 2 s, but a reported speed or load holds for tenths of a second only.

Change: entries send each other the readings of their own responses, each once: every 0.1 s within the region, every 0.2 s to 16 daemons of other regions at most, encoded once for all receivers. Readings state their age; receivers add the travel time and subtract their own requests that the server had at that time. It begins once a server reports its speed.

Callers gain requests that go to faster servers, and fewer wrong expectations.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -108,7 +108,7 @@
                 self._connections,
                 codec,
                 clock,
-                self._fleet.notices.handle_response,
+                self._fleet.handle_response,
             ),
             self._fleet.tokens,
             self._fleet.permits,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Any
 
+from geraniumshelf_core.placement.state import ServerView
 from geraniumshelf_core.presence.commands import (
     add_target,
     register_instance,
@@ -19,11 +20,15 @@
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.heartbeats import Heartbeats
-from geraniumshelf_daemon.edge.interface import PlatformStore
+from geraniumshelf_daemon.edge.interface import (
+    PlatformStore,
+    ResponseFields,
+)
 from geraniumshelf_daemon.edge.limit_owners import LimitOwners
 from geraniumshelf_daemon.edge.notices import ServerNotices
 from geraniumshelf_daemon.edge.owners import OwnerView
 from geraniumshelf_daemon.edge.permits import ServerPermits
+from geraniumshelf_daemon.edge.readings import ReadingExchange
 from geraniumshelf_daemon.edge.registry import Registry
 from geraniumshelf_daemon.edge.server_limits import ServerLimits
 from geraniumshelf_daemon.edge.settings import EdgeSettings
@@ -130,6 +135,21 @@
             clock,
             self.limits,
         )
+        self._readings = ReadingExchange(
+            state.placement,
+            self.presence,
+            settings.name,
+            self._port,
+            clock,
+            random,
+        )
+
+    def handle_response(
+        self, view: ServerView, fields: ResponseFields, sent_at: Nanoseconds
+    ) -> None:
+        """Record what the response to a request says of its server."""
+        self.notices.handle_response(view, fields, sent_at)
+        self._readings.handle_response(view, fields)
 
     def own_heartbeat(self) -> PresenceHeartbeat:
         """Return the newest heartbeat of this daemon."""
@@ -170,13 +190,15 @@
         registry = Registry(
             store, self.presence, self._settings, self._random, entry_role
         )
-        return (
+        workers: list[BackgroundTask] = [
             self.heartbeats.run,
             self._share_exchange.run,
             self._token_exchange.run,
             self.limits.run,
+            self._readings.run,
             registry.run,
-        )
+        ]
+        return tuple(workers)
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -7,6 +7,7 @@
 
 from geraniumshelf_core.history.eras import StoreRevision
 from geraniumshelf_core.placement.notices import DepartureNotice
+from geraniumshelf_core.placement.readings import ServerReadings
 from geraniumshelf_core.placement.server_limits import LimitNotice
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
@@ -32,6 +33,7 @@
     | LimitNotice
     | PermitRequest
     | PermitGrant
+    | ServerReadings
 )
 
 # The index of a type in this tuple identifies it in datagrams.
@@ -47,6 +49,7 @@
     LimitNotice,
     PermitRequest,
     PermitGrant,
+    ServerReadings,
 )
 _NUMBER: Final = (int, float)
 _FIELD_TYPES: Final = {
@@ -80,6 +83,7 @@
     LimitNotice: (str, int, (int, float, type(None)), int),
     PermitRequest: (str, int, str, int, _NUMBER, int, int),
     PermitGrant: (str, int, str, int, int, int),
+    ServerReadings: (str, list, list),
 }
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/observability/events.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/events.py
@@ -81,6 +81,7 @@
     BACKEND_LIMITED = 614
     BACKEND_UNLIMITED = 615
     LIMIT_UNREADABLE = 616
+    SERVER_SPEED_KNOWN = 619
 
     # Steering.
     PLAN_PROPOSED = 701
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -34,6 +34,8 @@
     LIMITED_SERVERS = 'limited_servers'
     PERMITS_REQUESTED = 'permits_requested'
     PERMITS_GRANTED = 'permits_granted'
+    READINGS_SENT = 'readings_sent'
+    READINGS_RECEIVED = 'readings_received'
     CONNECTIONS_SILENT = 'connections_silent'
     UPSTREAM_CONNECTIONS = 'upstream_connections'
 
--- a/tests/daemon/edge/test_messages.py
+++ b/tests/daemon/edge/test_messages.py
@@ -6,6 +6,10 @@
 from hypothesis import strategies as st
 
 from geraniumshelf_core.history.eras import StoreRevision
+from geraniumshelf_core.placement.readings import (
+    MAX_READINGS,
+    ServerReadings,
+)
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
     ShareLoan,
@@ -53,6 +57,7 @@
         WholeShareLoan('n1', 5),
         TokenRequest('n1', 5, 'shop', 3),
         TokenGrant(5, 'shop', 2, 9),
+        ServerReadings('n1', ('s1', 's2'), (3, 1, 250, 12, 0, 0, 100, 40)),
     ],
 )
 def test_message_comes_back(message: Message) -> None:
@@ -60,6 +65,14 @@
     assert decode_message(encode_message(message)) == message
 
 
+def test_most_readings_stay_below_the_size_of_a_packet() -> None:
+    """A datagram in several packets is lost with any one of them."""
+    names = tuple(f'server-{number:05}' for number in range(MAX_READINGS))
+    figures = (20, 20, 10_000, 999) * MAX_READINGS
+    message = ServerReadings('instance-0001', names, figures)
+    assert len(encode_message(message)) < 1400
+
+
 @given(datagram=st.binary(max_size=200))
 def test_stray_bytes_are_no_message(datagram: bytes) -> None:
     """An invalid datagram must not end the task that receives datagrams."""
--- a/tests/platform/server_standin.py
+++ b/tests/platform/server_standin.py
@@ -37,6 +37,7 @@
         retry_after: ``Retry-After`` of its rejections, empty for none.
         is_full: Whether it rejects all requests.
         rate_limit: ``Server-Limit`` of its responses, empty for none.
+        speed: Fourth figure of its ``X-Server-Load``, empty for none.
         cold_ms: Time for which it reports in health checks that it stays cold.
         aborted_count: Number of requests whose connection the daemon closed
             before their response.
@@ -53,6 +54,7 @@
     retry_after: str = ''
     is_full: bool = False
     rate_limit: str = ''
+    speed: str = ''
     cold_ms: int = 0
     aborted_count: int = 0
     address: str = ''
@@ -158,6 +160,7 @@
         *,
         was_run: bool,
     ) -> bytes:
+        speed = f',{self.speed}' if self.speed else ''
         extra = 'X-Response-Signature: s' if was_run else 'X-Not-Executed: 1'
         if self.is_leaving:
             extra += '\r\nServer-Leaving: 1'
@@ -169,7 +172,7 @@
             f'HTTP/1.1 {status} x\r\n'
             f'X-Request-Id: {request.headers.get("x-request-id", "")}\r\n'
             f'X-Instance-Id: {self.name}\r\n'
-            f'X-Server-Load: {self._in_flight},0,{self.slots}\r\n'
+            f'X-Server-Load: {self._in_flight},0,{self.slots}{speed}\r\n'
             f'{extra}\r\nContent-Length: {len(body)}\r\n\r\n'
         ).encode() + body
 
