Test that a slow phase does not count as cold work

The test fails without the use of the reported speed in the relay: the response counts as one for a cold object. Guards the estimates that callers' requests are placed by.

--- a/tests/platform/test_readings.py
+++ b/tests/platform/test_readings.py
@@ -2,7 +2,16 @@
 
 import asyncio
 
-from tests.platform.harness import TIMEOUT_S, connect_to, run_scenario
+from tests.platform.harness import (
+    HOST,
+    TIMEOUT_S,
+    connect_to,
+    make_configuration,
+    make_path,
+    run_scenario,
+    running_harness,
+)
+from tests.platform.server_standin import ServerStandin
 from tests.platform.test_fleet import Fleet, running_fleet
 
 
@@ -30,3 +39,25 @@
                     await asyncio.sleep(0.2)
 
     run_scenario(scenario)
+
+
+def test_slow_phase_does_not_count_as_cold_work() -> None:
+    """Guard against estimates that rise because a server is slow for a moment.
+
+    Warm work is expected to take 0.4 s. It takes twice that, as the server
+    reports, which is otherwise as long as for a cold object.
+    """
+
+    async def scenario() -> None:
+        server = ServerStandin('i-1', work_s=0.8, speed='200')
+        path = make_path('/read/', target_latency_s=1)
+        hosts = [{'host': HOST, 'paths': [path]}]
+        async with running_harness(
+            {'i-1': server}, make_configuration(hosts=hosts)
+        ) as harness:
+            caller = await harness.connect()
+            assert (await caller.fetch('/read/1')).status == 200
+            metrics = await harness.read_metrics()
+            assert 'geraniumshelf_runs_warm_total 1' in metrics
+
+    run_scenario(scenario)
