Judge servers that reject without being full by the rate of their rejections

Cause: a rejection counted as a full and failing server, whatever load it reported. While all servers of a service reject half of what they get at random, a third of them is ejected at any time, and their objects move to servers where they are cold.

Change: a rejection is partial if the server reports a free slot, or a queue shorter than the longest reported in its service. It causes no pause and is no failure. Each server and service has a rate of partial rejections that decays; a server above the rate of its service costs as many times more as a request needs attempts there, and one that clearly exceeds the others is ejected.

--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -1,6 +1,5 @@
 """Updates the placement state from store entries, requests and responses."""
 
-from collections.abc import Iterable
 from typing import Final
 
 from attrs import frozen
@@ -10,6 +9,7 @@
     needs_checks,
     record_unreachable,
 )
+from geraniumshelf_core.placement.ejections import eject
 from geraniumshelf_core.placement.estimates import (
     estimated_load,
     looks_warm,
@@ -17,6 +17,10 @@
 )
 from geraniumshelf_core.placement.notices import get_notice
 from geraniumshelf_core.placement.queries import is_leaving, preferred_servers
+from geraniumshelf_core.placement.rejections import (
+    is_outlier,
+    record_attempt,
+)
 from geraniumshelf_core.placement.spills import plan_spills
 from geraniumshelf_core.placement.state import (
     PlacementRequest,
@@ -45,11 +49,8 @@
 _FAILURE_GAIN: Final = 0.15
 _EJECTION_FAILURE_RATE: Final = 0.4
 FAILURES_TO_EJECT: Final = 3
-EJECTION_NS: Final[Nanoseconds] = 3 * SECOND_NS
 # Time after which one request tries a server that accepted no connection.
 _UNREACHABLE_NS: Final[Nanoseconds] = SECOND_NS
-# At most one in this many servers of a service and region is ejected at once.
-_EJECTION_DIVISOR: Final = 3
 # A server that shed a request counts as full for this time, in which it can
 # start one of its queued requests.
 _FULL_PAUSE_MS: Final = 50
@@ -65,6 +66,7 @@
         is_unreachable: Whether no connection could be opened, or another
             server answered at the address.
         is_shed: Whether the server rejected it because it was full.
+        is_partial: Whether the server rejected it without being full.
         work: Time until the response, without the network delay; 0 if there was
             no response.
         object_name: Object that the request concerned.
@@ -73,6 +75,7 @@
     is_failure: bool = False
     is_unreachable: bool = False
     is_shed: bool = False
+    is_partial: bool = False
     work: Nanoseconds = 0
     object_name: str = ''
 
@@ -194,9 +197,12 @@
 ) -> bool:
     """Record the end of a request; return whether the server was ejected."""
     view.in_flight -= 1
+    if outcome.is_partial:
+        return _end_rejected(state, view, now)
     if outcome.is_shed:
         view.full_until = now + _FULL_PAUSE_NS
     if outcome.work:
+        record_attempt(state, view, now, is_rejected=False)
         _record_work(state, view, outcome, now)
     sample = 1 if outcome.is_failure or outcome.is_shed else 0
     view.failure_rate += _FAILURE_GAIN * (sample - view.failure_rate)
@@ -214,7 +220,7 @@
         view.failures >= FAILURES_TO_EJECT
         or view.failure_rate > _EJECTION_FAILURE_RATE
     )
-    return is_bad and _eject(state, view, now)
+    return is_bad and eject(state, view, now)
 
 
 def eject_if_silent(
@@ -225,7 +231,7 @@
 ) -> None:
     """Eject a server that has not responded since a request was sent."""
     if view.last_response_at < sent_at and view.ejected_until <= now:
-        _eject(state, view, now)
+        eject(state, view, now)
 
 
 def record_report(
@@ -233,9 +239,22 @@
 ) -> None:
     """Record the load that a server reported in a response."""
     view.other_requests = max(0, running + waiting - view.in_flight)
+    view.longest_queue = max(view.longest_queue, waiting)
     view.reported_at = now
 
 
+def _end_rejected(
+    state: PlacementState, view: ServerView, now: Nanoseconds
+) -> bool:
+    # The server responded, so it is reachable. Whether it completes the
+    # requests that it accepts is not known, so its failures stay as they are.
+    view.is_unreachable = False
+    record_attempt(state, view, now, is_rejected=True)
+    if view.ejected_until > now or not is_outlier(state, view, now):
+        return False
+    return eject(state, view, now)
+
+
 def _record_work(
     state: PlacementState,
     view: ServerView,
@@ -277,19 +296,3 @@
     return _TYPICAL_WORK_GAIN * (
         min(work, _MAX_SAMPLE_RATIO * average) - average
     )
-
-
-def _eject(state: PlacementState, view: ServerView, now: Nanoseconds) -> bool:
-    names = _server_group(state, view)
-    ejected = sum(state.servers[name].ejected_until > now for name in names)
-    if (ejected + 1) * _EJECTION_DIVISOR > len(tuple(names)):
-        return False
-    view.failures = 0
-    view.failure_rate = 0
-    view.ejected_until = now + EJECTION_NS
-    return True
-
-
-def _server_group(state: PlacementState, view: ServerView) -> Iterable[str]:
-    """Return the usable servers of the service and region of a server."""
-    return state.usable.get((view.server.service, view.region), ())
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -24,6 +24,7 @@
     usable_slots,
 )
 from geraniumshelf_core.placement.notices import is_paused
+from geraniumshelf_core.placement.rejections import relative_attempts
 from geraniumshelf_core.placement.state import (
     Candidate,
     PlacementRequest,
@@ -192,7 +193,11 @@
 ) -> tuple[bool, float]:
     # The extra cost accounts for the time for which the request takes a slot.
     extra = (state.policies.work_weight - 1) * candidate.expected_work
-    return candidate.view.full_until > now, candidate.expected_latency + extra
+    cost = candidate.expected_latency + extra
+    return (
+        candidate.view.full_until > now,
+        cost * relative_attempts(state, candidate.view, now),
+    )
 
 
 def _is_eligible(
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from geraniumshelf_core.dispatch.state import Place
+from geraniumshelf_core.placement.rejection_rates import RejectionRate
 from geraniumshelf_core.placement.server_limits import ServerLimit
 from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
 from geraniumshelf_core.shares.permits import PermitStock
@@ -72,6 +73,8 @@
             recently used first (an ordered set).
         idle_time: Keep-alive timeout that it announced, ``None`` if it
             announced none.
+        rejections: Rate at which it rejects requests without being full.
+        longest_queue: Most requests that it has reported as waiting.
     """
 
     server: ListedServer
@@ -95,6 +98,8 @@
     reserved_sends: int = 0
     warm_objects: dict[str, None] = field(factory=dict)
     idle_time: Nanoseconds | None = None
+    rejections: RejectionRate = field(factory=RejectionRate)
+    longest_queue: int = 0
 
 
 @define
@@ -151,6 +156,7 @@
         spills: Spill state by service.
         rankings: Cached order of servers by service, region and object.
         typical_work_times: Average work by service.
+        rejections: Rate of rejections without being full, by service.
         has_placed_requests: Whether requests have been placed; from then on
             objects change region only in bounded steps.
         started_at: Time at which this daemon started.
@@ -174,6 +180,7 @@
     spills: dict[str, SpillState] = field(factory=dict)
     rankings: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
+    rejections: dict[str, RejectionRate] = field(factory=dict)
     has_placed_requests: bool = False
     started_at: Nanoseconds = LONG_AGO
     list_confirmed_at: Nanoseconds = LONG_AGO
--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -30,6 +30,9 @@
             such a request still starts in a crowded region.
         keeps_server_limits: Whether servers get no more requests than the limit
             that they name.
+        counts_rejections: Whether a server that rejects requests without being
+            full is judged by the rate of its rejections. Otherwise it counts as
+            full and failing.
     """
 
     work_weight: float = 1
@@ -38,6 +41,7 @@
     crowded_above: float = 0.9
     late_part: float = 0.3
     keeps_server_limits: bool = True
+    counts_rejections: bool = True
 
 
 DEFAULT_POLICIES: Final = Policies()
