Read the load in rejections and let callers of rejected requests retry soon

Cause: a failed attempt dropped the load that the rejection reported, so the daemon could not tell a full server from one that rejects at random, and told callers to wait 0.2 to 0.7 s in both cases.

Change: AttemptFailed carries the load, unless another server responded (421), and it is recorded like that of other responses. A request that is refused after a partial rejection, and has not run, gets a Retry-After of 0.05 to 0.1 s.

Callers wait no longer than it takes to try again when waiting does not help.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/attempt.py
@@ -20,6 +20,7 @@
     HeaderCodec,
     ResponseFields,
 )
+from geraniumshelf_daemon.edge.response_check import check_response
 from geraniumshelf_daemon.edge.routed_request import RoutedRequest
 from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.front.framing import BODY_METHODS
@@ -32,8 +33,6 @@
 # Responses up to this size are read completely before the caller gets the first
 # byte, so that the request can be retried or refused if one is cut short.
 _MAX_BUFFERED_BYTES: Final = 262144
-_SUCCESS_CLASS: Final = 2
-_CLASS_SIZE: Final = 100
 # An empty region disables pacing.
 _UNPACED: Final = LinkFlow('', FlowKey('', ''))
 
@@ -146,7 +145,7 @@
             fields = self._shared.codec.read_response(status, headers)
             self._view.idle_time = fields.idle_time
             self._shared.handle_notices(self._view, fields, sent_at)
-            _check_response(status, fields)
+            check_response(status, fields)
             body, is_complete = await self._buffer_body()
         except OSError as error:
             if self._connection is not None and not self._exchange.has_head:
@@ -265,24 +264,6 @@
         return ResponseOwner.OTHER if len(ids) == 1 else ResponseOwner.UNKNOWN
 
 
-def _check_response(status: int, fields: ResponseFields) -> None:
-    if fields.is_not_run:
-        raise AttemptFailed(
-            ResultCode.BACKEND_REFUSED,
-            'another server now uses the address of the backend server'
-            if fields.is_misdirected
-            else 'the backend server did not run the request',
-            Ran.NOT_RUN,
-            is_server_failure=fields.is_misdirected,
-        )
-    if status // _CLASS_SIZE == _SUCCESS_CLASS and not fields.is_signed:
-        raise AttemptFailed(
-            ResultCode.BACKEND_BROKEN,
-            'the response of the backend server is not signed',
-            Ran.UNKNOWN,
-        )
-
-
 def _silence_failure() -> AttemptFailed:
     return AttemptFailed(
         ResultCode.BACKEND_SILENT,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
@@ -6,9 +6,15 @@
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_core.placement.commands import Outcome
 from geraniumshelf_core.placement.estimates import looks_warm
-from geraniumshelf_core.placement.state import TypicalWork
+from geraniumshelf_core.placement.rejections import is_partial_rejection
+from geraniumshelf_core.placement.state import (
+    PlacementState,
+    ServerView,
+    TypicalWork,
+)
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.log_budget import LogBudget, log_request
+from geraniumshelf_daemon.edge.rejections import rejection_delay_s
 from geraniumshelf_daemon.edge.routed_request import RoutedRequest
 from geraniumshelf_daemon.edge.state import RequestProgress
 from geraniumshelf_daemon.observability.events import Event
@@ -30,11 +36,24 @@
 }
 
 
-def failure_outcome(failure: AttemptFailed) -> Outcome:
+def failure_outcome(
+    failure: AttemptFailed,
+    placement: PlacementState,
+    view: ServerView,
+    now: Nanoseconds,
+) -> Outcome:
     """Return the outcome of a failed attempt for its server."""
+    load = failure.load
     match failure.code:
         case ResultCode.BACKEND_REFUSED if failure.is_server_failure:
             return Outcome(is_failure=True, is_unreachable=True)
+        case ResultCode.BACKEND_REFUSED if (
+            load is not None
+            and is_partial_rejection(
+                placement, view, load.running, load.waiting, now
+            )
+        ):
+            return Outcome(is_partial=True)
         case ResultCode.BACKEND_REFUSED:
             return Outcome(is_shed=True)
         case ResultCode.NO_BACKEND_SERVER:
@@ -58,15 +77,17 @@
     )
 
 
-def retry_delay_s(ran: Ran, random: Random) -> float | None:
+def retry_delay_s(progress: RequestProgress, random: Random) -> float | None:
     """Return the delay before a request that did not run may be retried.
 
     Returns:
         Seconds, with jitter; ``None`` if the request may have run.
     """
-    if ran is not Ran.NOT_RUN:
+    if progress.ran is not Ran.NOT_RUN:
         return None
-    return round(_MIN_RETRY_DELAY_S + random.random() / 2, 3)
+    return rejection_delay_s(progress, random) or round(
+        _MIN_RETRY_DELAY_S + random.random() / 2, 3
+    )
 
 
 def count_run(typical: TypicalWork, work: Nanoseconds) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -11,8 +11,6 @@
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
-    end_request,
-    record_report,
 )
 from geraniumshelf_core.placement.estimates import typical_work
 from geraniumshelf_core.placement.state import Candidate
@@ -30,7 +28,7 @@
 )
 from geraniumshelf_daemon.edge.delivery import relay_response
 from geraniumshelf_daemon.edge.grace import collect_body
-from geraniumshelf_daemon.edge.interface import CallerFields
+from geraniumshelf_daemon.edge.interface import CallerFields, ReportedLoad
 from geraniumshelf_daemon.edge.loading import LoadingGate
 from geraniumshelf_daemon.edge.outcomes import (
     count_refusal,
@@ -43,6 +41,7 @@
     run_outcome,
 )
 from geraniumshelf_daemon.edge.permits import ServerPermits
+from geraniumshelf_daemon.edge.rejections import end_attempt
 from geraniumshelf_daemon.edge.routed_request import (
     RoutedRequest,
     make_placement_request,
@@ -201,21 +200,22 @@
         begin_request(placement, view)
         outcome = Outcome()
         response: ServerResponse | None = None
+        load: ReportedLoad | None = None
         try:
             response, outcome = await self._exchange(
                 caller, request, choice, attempt, progress
             )
+            load = response.fields.load
         except AttemptFailed as failure:
-            outcome = failure_outcome(failure)
+            now = self._clock()
+            outcome = failure_outcome(failure, placement, view, now)
+            progress.was_rejected_partially |= outcome.is_partial
+            load = failure.load
             raise
         finally:
             if response is None:
                 attempt.close()
-            if end_request(placement, view, outcome, self._clock()):
-                log_event(Event.BACKEND_EJECTED, view.server.name)
-        load = response.fields.load
-        if load is not None:
-            record_report(view, load.running, load.waiting, self._clock())
+            end_attempt(placement, view, outcome, load, self._clock())
         return attempt, response
 
     async def _exchange(
@@ -263,7 +263,7 @@
             failure.code,
             failure.detail,
             ran=progress.ran,
-            retry_after_s=retry_delay_s(progress.ran, self._random),
+            retry_after_s=retry_delay_s(progress, self._random),
         )
 
     async def _refuse(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -38,6 +38,7 @@
     ns_to_seconds,
 )
 from geraniumshelf_daemon.edge.grace import fits_in_grace, make_stop_refusal
+from geraniumshelf_daemon.edge.rejections import rejection_delay_s
 from geraniumshelf_daemon.edge.routed_request import (
     RoutedRequest,
     make_placement_request,
@@ -138,7 +139,8 @@
                     else ResultCode.NO_BACKEND_SERVER,
                     f'no server of {request.service} can respond in time',
                     ran=progress.ran,
-                    retry_after_s=_rounded_s(retry_after),
+                    retry_after_s=rejection_delay_s(progress, self._random)
+                    or _rounded_s(retry_after),
                 )
 
     def confirm(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -112,6 +112,8 @@
         ran: Whether it ran, as far as is known.
         may_have_run: Whether an attempt failed without certainty that the
             request did not run.
+        was_rejected_partially: Whether a server rejected it without being
+            full.
         attempts: Number of servers to which it was sent.
         server: Name of the last chosen server, empty before the first.
         inputs: Values behind a rejection; logged, but not sent to the caller.
@@ -120,6 +122,7 @@
     request: RoutedRequest | None = None
     ran: Ran = Ran.NOT_RUN
     may_have_run: bool = False
+    was_rejected_partially: bool = False
     attempts: int = 0
     server: str = ''
     inputs: str = ''
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -29,6 +29,8 @@
     BACKENDS_EJECTED = 'backends_ejected'
     BACKENDS_UNCONFIRMED = 'backends_unconfirmed'
     HEALTH_CHECKS = 'health_checks'
+    REJECTIONS_FULL = 'rejections_full'
+    REJECTIONS_PARTIAL = 'rejections_partial'
     LIMITS_NAMED = 'limits_named'
     LIMITS_UNREADABLE = 'limits_unreadable'
     LIMITED_SERVERS = 'limited_servers'
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/progress.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/progress.py
@@ -7,6 +7,7 @@
 from attrs import define, frozen
 
 from geraniumshelf_core.errors import Ran, ResultCode
+from geraniumshelf_daemon.edge.interface import ReportedLoad
 
 T = TypeVar('T')
 
@@ -24,12 +25,14 @@
         detail: Description of the failure.
         ran: Whether the request ran, as far as it is known.
         is_server_failure: Whether it counts as a failure of the server.
+        load: Load that the server reported, ``None`` if it reported none.
     """
 
     code: ResultCode
     detail: str
     ran: Ran
     is_server_failure: bool = True
+    load: ReportedLoad | None = None
 
 
 @define
--- a/tests/platform/server_standin.py
+++ b/tests/platform/server_standin.py
@@ -35,7 +35,9 @@
         shed_count: Number of requests that it rejected as full.
         is_leaving: Whether its responses announce that it leaves.
         retry_after: ``Retry-After`` of its rejections, empty for none.
-        is_full: Whether it rejects all requests.
+        is_full: Whether it rejects all requests and reports that all its
+            slots are taken.
+        is_rejecting: Whether it rejects all requests without being full.
         rate_limit: ``Server-Limit`` of its responses, empty for none.
         cold_ms: Time for which it reports in health checks that it stays cold.
         aborted_count: Number of requests whose connection the daemon closed
@@ -52,6 +54,7 @@
     is_leaving: bool = False
     retry_after: str = ''
     is_full: bool = False
+    is_rejecting: bool = False
     rate_limit: str = ''
     cold_ms: int = 0
     aborted_count: int = 0
@@ -119,7 +122,8 @@
         expected = request.headers.get('x-expect-instance', self.name)
         if expected != self.name:
             return self._build_response(421, request, b'', was_run=False)
-        if self.is_full or self._in_flight >= self.slots:
+        is_shed = self.is_full or self._in_flight >= self.slots
+        if is_shed or self.is_rejecting:
             self.shed_count += 1
             return self._build_response(
                 _SERVICE_UNAVAILABLE, request, b'', was_run=False
@@ -165,11 +169,12 @@
             extra += f'\r\nServer-Limit: {self.rate_limit}'
         if self.retry_after and status == _SERVICE_UNAVAILABLE:
             extra += f'\r\nRetry-After: {self.retry_after}'
+        running = self.slots if self.is_full else self._in_flight
         return (
             f'HTTP/1.1 {status} x\r\n'
             f'X-Request-Id: {request.headers.get("x-request-id", "")}\r\n'
             f'X-Instance-Id: {self.name}\r\n'
-            f'X-Server-Load: {self._in_flight},0,{self.slots}\r\n'
+            f'X-Server-Load: {running},0,{self.slots}\r\n'
             f'{extra}\r\nContent-Length: {len(body)}\r\n\r\n'
         ).encode() + body
 
