--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -32,6 +32,9 @@
             that they name.
         shares_readings: Whether the speeds that servers report count, and
             daemons exchange readings of servers.
+        counts_rejections: Whether a server that rejects requests without being
+            full is judged by the rate of its rejections. Otherwise it counts as
+            full and failing.
     """
 
     work_weight: float = 1
@@ -41,6 +44,7 @@
     late_part: float = 0.3
     keeps_server_limits: bool = True
     shares_readings: bool = True
+    counts_rejections: bool = True
 
 
 DEFAULT_POLICIES: Final = Policies()
