--- a/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/outcomes.py
@@ -7,7 +7,9 @@
 from geraniumshelf_core.placement.commands import Outcome
 from geraniumshelf_core.placement.estimates import looks_warm
 from geraniumshelf_core.placement.rejections import is_partial_rejection
+from geraniumshelf_core.placement.speeds import usual_work
 from geraniumshelf_core.placement.state import (
+    Candidate,
     PlacementState,
     ServerView,
     TypicalWork,
@@ -90,10 +92,24 @@
     )
 
 
-def count_run(typical: TypicalWork, work: Nanoseconds) -> None:
-    """Count a run as warm or cold, judged by its work time."""
+def measure_run(
+    typical: TypicalWork,
+    choice: Candidate,
+    elapsed: Nanoseconds,
+    now: Nanoseconds,
+) -> Nanoseconds:
+    """Return the work of a run at the usual speed, and count the run.
+
+    Args:
+        typical: Typical work of the service; tells warm from cold runs.
+        choice: The server and its speed when it was chosen.
+        elapsed: Time from sending the request to its response.
+        now: Time of the response.
+    """
+    work = usual_work(choice, elapsed - choice.network_delay, now)
     is_warm = looks_warm(typical, work)
     count_metric(Metric.RUNS_WARM if is_warm else Metric.RUNS_COLD)
+    return work
 
 
 def count_refusal(code: ResultCode) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -13,7 +13,6 @@
     begin_request,
 )
 from geraniumshelf_core.placement.estimates import typical_work
-from geraniumshelf_core.placement.speeds import usual_work
 from geraniumshelf_core.placement.state import Candidate
 from geraniumshelf_core.shares.retries import earn_retries
 from geraniumshelf_core.site.model import Repeatability
@@ -33,11 +32,11 @@
 from geraniumshelf_daemon.edge.loading import LoadingGate
 from geraniumshelf_daemon.edge.outcomes import (
     count_refusal,
-    count_run,
     failure_outcome,
     log_progress,
     log_refusal,
     make_internal_fault,
+    measure_run,
     retry_delay_s,
     run_outcome,
 )
@@ -239,8 +238,8 @@
             caller, self._selector.cap_wait(request, choice, sent_at, progress)
         )
         now = self._clock()
-        work = usual_work(choice, now - sent_at - choice.network_delay, now)
-        count_run(typical_work(self._state.placement, request.service), work)
+        typical = typical_work(self._state.placement, request.service)
+        work = measure_run(typical, choice, now - sent_at, now)
         return response, run_outcome(response.status, work, request.object_name)
 
     def _check_retry(
