Plan spills by the demand of the regions

Spills were planned from slots as if the callers of each region had the same demand.

The plan now takes the expected demand of each region: rates of the last second, extrapolated by their slope. While all regions together are near their slots, or the demand of a region is unknown, the plan by slots applies.

Callers of a region at its peak wait less while other regions have slots.

--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -266,6 +266,10 @@
 def _update_average(
     typical: TypicalWork, work: Nanoseconds, *, is_warm: bool
 ) -> None:
+    sample = 0 if is_warm else 1
+    typical.cold_fraction += _TYPICAL_WORK_GAIN * (
+        sample - typical.cold_fraction
+    )
     if is_warm:
         typical.warm += _average_change(typical.warm, work)
     else:
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -229,18 +229,16 @@
 ) -> str:
     """Return the region that takes a spilled object.
 
-    Regions are chosen in proportion to their spare slots.
+    Regions are chosen in proportion to their weights.
 
     Args:
         spill: Spill state of the service.
         others: The other regions.
         point: Position of the object among the spilled ones, 0 to 1.
     """
-    remaining = point * sum(
-        spill.spare_slots.get(region, 0) for region in others
-    )
+    remaining = point * sum(spill.weights.get(region, 0) for region in others)
     for region in others:
-        remaining -= spill.spare_slots.get(region, 0)
+        remaining -= spill.weights.get(region, 0)
         if remaining < 0:
             return region
     return others[0]
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from geraniumshelf_core.dispatch.state import Place
+from geraniumshelf_core.placement.demand import DemandState
 from geraniumshelf_core.placement.server_limits import ServerLimit
 from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
 from geraniumshelf_core.shares.permits import PermitStock
@@ -104,10 +105,12 @@
     Attributes:
         warm: For objects that the server has handled before, nanoseconds.
         cold: For other objects, nanoseconds.
+        cold_fraction: Fraction of the requests that are for other objects.
     """
 
     warm: float
     cold: float
+    cold_fraction: float = 0
 
 
 @define
@@ -120,11 +123,24 @@
             lacks, compared with the average of all regions.
         spare_slots: Slots of each region above the average of all regions, at
             least a small positive number.
+        weights: Weights by which the other regions share the spilled objects.
+        planned_fraction: Fraction that the plan in force aims at.
+        is_by_demand: Whether the plan in force follows the demand.
+        is_by_slots: Whether the weights are those of the plan by slots.
+        slots: Slots of the usable servers by region.
+        load: Smoothed load per slot of all regions by their demand, ``None``
+            before it is known.
     """
 
     fraction: float = 0
     base_fraction: float = 0
     spare_slots: dict[str, float] = field(factory=dict)
+    weights: dict[str, float] = field(factory=dict)
+    planned_fraction: float = 0
+    is_by_demand: bool = False
+    is_by_slots: bool = True
+    slots: dict[str, float] = field(factory=dict)
+    load: float | None = None
 
 
 @define
@@ -149,6 +165,7 @@
         usable: Names of the servers that may get work, by service and region.
         evacuated: Zones that get no new work.
         spills: Spill state by service.
+        demand: Demand of the callers of each region.
         rankings: Cached order of servers by service, region and object.
         typical_work_times: Average work by service.
         has_placed_requests: Whether requests have been placed; from then on
@@ -172,6 +189,7 @@
     usable: dict[tuple[str, str], tuple[str, ...]] = field(factory=dict)
     evacuated: frozenset[str] = frozenset()
     spills: dict[str, SpillState] = field(factory=dict)
+    demand: DemandState = field(factory=DemandState)
     rankings: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
     has_placed_requests: bool = False
