Exchange the demand of callers between the daemons

The plan by demand needs the rates of all entries. Each ready entry of a large fleet sends its rates and slopes to all ready daemons every 0.5 s (message 12). Index 11 stays free for now and decodes to no message. Requests count when they have a token of their account, since others never need a server. Nothing is sent in a small fleet.

SPILL_CHANGED names the cause and the planned fraction, /status lists the spills of each service, and demand_reports_received counts the reports used. Tests use no network.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -18,6 +18,7 @@
 from geraniumshelf_core.shares.messages import TokenGrant
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
+from geraniumshelf_daemon.edge.demand_reports import DemandReports
 from geraniumshelf_daemon.edge.heartbeats import Heartbeats
 from geraniumshelf_daemon.edge.interface import PlatformStore
 from geraniumshelf_daemon.edge.limit_owners import LimitOwners
@@ -123,6 +124,14 @@
             self.own_heartbeat,
             clock,
         )
+        self._demand_reports = DemandReports(
+            state.placement,
+            self.presence,
+            self._port,
+            self.own_heartbeat,
+            clock,
+            random,
+        )
         self.notices = ServerNotices(
             state.placement,
             self.presence,
@@ -170,13 +179,15 @@
         registry = Registry(
             store, self.presence, self._settings, self._random, entry_role
         )
-        return (
-            self.heartbeats.run,
-            self._share_exchange.run,
-            self._token_exchange.run,
-            self.limits.run,
-            registry.run,
+        workers = (
+            self.heartbeats,
+            self._share_exchange,
+            self._token_exchange,
+            self.limits,
+            self._demand_reports,
+            registry,
         )
+        return tuple(worker.run for worker in workers)
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -6,6 +6,7 @@
 from attrs import astuple
 
 from geraniumshelf_core.history.eras import StoreRevision
+from geraniumshelf_core.placement.demand import DemandReport
 from geraniumshelf_core.placement.notices import DepartureNotice
 from geraniumshelf_core.placement.server_limits import LimitNotice
 from geraniumshelf_core.presence.state import PresenceHeartbeat
@@ -32,10 +33,12 @@
     | LimitNotice
     | PermitRequest
     | PermitGrant
+    | DemandReport
 )
 
-# The index of a type in this tuple identifies it in datagrams.
-_MESSAGE_TYPES: Final = (
+# The index of a type in this tuple identifies it in datagrams. An index with
+# ``None`` is not in use.
+_MESSAGE_TYPES: Final[tuple[type[Any] | None, ...]] = (
     PresenceHeartbeat,
     ShareRequest,
     ShareLoan,
@@ -47,6 +50,8 @@
     LimitNotice,
     PermitRequest,
     PermitGrant,
+    None,
+    DemandReport,
 )
 _NUMBER: Final = (int, float)
 _FIELD_TYPES: Final = {
@@ -80,6 +85,7 @@
     LimitNotice: (str, int, (int, float, type(None)), int),
     PermitRequest: (str, int, str, int, _NUMBER, int, int),
     PermitGrant: (str, int, str, int, int, int),
+    DemandReport: (str, str, int, dict, dict),
 }
 
 
@@ -99,12 +105,15 @@
         message_type = _MESSAGE_TYPES[type_index]
     except Exception:
         return None
+    if message_type is None:
+        return None
     field_types = _FIELD_TYPES[message_type]
     if version != _FORMAT_VERSION or len(fields) != len(field_types):
         return None
     if not all(map(isinstance, fields, field_types)):
         return None
-    return message_type(*map(_convert_field, fields))
+    message: Message = message_type(*map(_convert_field, fields))
+    return message
 
 
 def _encode_revision(encoder: cbor2.CBOREncoder, revision: Any) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -14,6 +14,7 @@
     end_request,
     record_report,
 )
+from geraniumshelf_core.placement.demand import count_request
 from geraniumshelf_core.placement.estimates import typical_work
 from geraniumshelf_core.placement.state import Candidate
 from geraniumshelf_core.shares.retries import earn_retries
@@ -137,6 +138,7 @@
             progress.request = request
         now = self._clock()
         earn_retries(self._state.retries, request.service, now)
+        count_request(self._state.placement.demand, request.service)
         upload = Upload(caller.body, self._pacer, has_body=caller.has_body)
         time_left = max(0, request.deadline - now)
         try:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/spill_controller.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/spill_controller.py
@@ -52,4 +52,6 @@
                     service,
                     fraction=round(spill.fraction, 3),
                     base=round(spill.base_fraction, 3),
+                    planned=round(spill.planned_fraction, 3),
+                    cause='demand' if spill.is_by_demand else 'slots',
                 )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/status.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/status.py
@@ -31,4 +31,12 @@
             for view in limited_views(state.placement)
             for granters in (owners.granters_of(view.server.name),)
         ],
+        'spills': {
+            service: {
+                'fraction': round(spill.fraction, 3),
+                'planned': round(spill.planned_fraction, 3),
+                'cause': 'demand' if spill.is_by_demand else 'slots',
+            }
+            for service, spill in state.placement.spills.items()
+        },
     }
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -34,6 +34,7 @@
     LIMITED_SERVERS = 'limited_servers'
     PERMITS_REQUESTED = 'permits_requested'
     PERMITS_GRANTED = 'permits_granted'
+    DEMAND_REPORTS_RECEIVED = 'demand_reports_received'
     CONNECTIONS_SILENT = 'connections_silent'
     UPSTREAM_CONNECTIONS = 'upstream_connections'
 
--- a/tests/daemon/edge/test_messages.py
+++ b/tests/daemon/edge/test_messages.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from geraniumshelf_core.history.eras import StoreRevision
+from geraniumshelf_core.placement.demand import DemandReport
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
     ShareLoan,
@@ -53,6 +54,7 @@
         WholeShareLoan('n1', 5),
         TokenRequest('n1', 5, 'shop', 3),
         TokenGrant(5, 'shop', 2, 9),
+        DemandReport('n1', 'a1', 5, {'shop': 7.5}, {'shop': -0.5}),
     ],
 )
 def test_message_comes_back(message: Message) -> None:
@@ -68,7 +70,7 @@
 
 @given(
     version=st.integers(0, 4),
-    kind=st.integers(-8, 9),
+    kind=st.integers(-8, 13),
     fields=st.lists(
         st.one_of(st.text(), st.integers(), st.booleans(), st.none()),
         max_size=12,
