--- a/tools/emulator/daemons.py
+++ b/tools/emulator/daemons.py
@@ -22,6 +22,7 @@
     set_evacuated,
     set_initial_work,
 )
+from geraniumshelf_core.placement.demand import count_request
 from geraniumshelf_core.placement.limited_servers import (
     has_permit,
     use_permit,
@@ -110,6 +111,8 @@
             now: Current time.
             random: Source of the jitter on ``Retry-After``.
         """
+        if not excluded:
+            count_request(self.state.demand, kind.service)
         request = PlacementRequest(
             kind.service, f'{kind.name}/{name}', excluded=excluded
         )
--- a/tools/emulator/simulation.py
+++ b/tools/emulator/simulation.py
@@ -15,6 +15,7 @@
     Daemon,
     make_placement_state,
 )
+from tools.emulator.demand import exchange_demand
 from tools.emulator.events import apply_event
 from tools.emulator.experiment import Experiment
 from tools.emulator.limit_statistics import LimitEvent, summarize_limits
@@ -39,6 +40,8 @@
 _REPLY_MARGIN_S: Final = 0.001
 # Shortest interval in which a daemon repeats what it knows of limits.
 LIMIT_INTERVAL_S: Final = 0.15
+# Interval in which daemons report their demand.
+_DEMAND_INTERVAL_S: Final = 0.5
 # Requests in flight at the end of the traffic have this time to complete.
 _COMPLETION_S: Final = 5
 
@@ -90,6 +93,7 @@
         for zone in range(self.experiment.zone_count):
             self._schedule_arrival(zone)
         self._adjust_spills()
+        self._exchange_demand()
         for daemon in self.daemons:
             self._step_limits(daemon)
         end_time = self.experiment.seconds + _COMPLETION_S
@@ -141,6 +145,11 @@
         if self.now < self.experiment.seconds:
             self.schedule(SPILL_INTERVAL_S, self._adjust_spills)
 
+    def _exchange_demand(self) -> None:
+        exchange_demand(self.daemons, self.now_ns())
+        if self.now < self.experiment.seconds:
+            self.schedule(_DEMAND_INTERVAL_S, self._exchange_demand)
+
     def _step_limits(self, daemon: Daemon) -> None:
         assert daemon.peer is not None
         daemon.peer.limits.step(self.now_ns())
