--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -35,6 +35,8 @@
         counts_rejections: Whether a server that rejects requests without being
             full is judged by the rate of its rejections. Otherwise it counts as
             full and failing.
+        plans_by_demand: Whether spills are planned by the demand that the
+            daemons report to each other, instead of by slots only.
     """
 
     work_weight: float = 1
@@ -45,6 +47,7 @@
     keeps_server_limits: bool = True
     shares_readings: bool = True
     counts_rejections: bool = True
+    plans_by_demand: bool = True
 
 
 DEFAULT_POLICIES: Final = Policies()
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -38,6 +38,7 @@
     PERMITS_GRANTED = 'permits_granted'
     READINGS_SENT = 'readings_sent'
     READINGS_RECEIVED = 'readings_received'
+    DEMAND_REPORTS_RECEIVED = 'demand_reports_received'
     CONNECTIONS_SILENT = 'connections_silent'
     UPSTREAM_CONNECTIONS = 'upstream_connections'
 
