Renew watches that stay silent after another watch was lost

Cause: the store dropped its history and left the watch of the configuration without a response, while other watches got 410. A daemon noticed that only at the end of the wait. A change learnt from a list was not reported in heartbeats, reports of other zones did not count, and heartbeats between zones are 1.5 s apart.

Evidence: with the fake store, all tests of test_silent_watches fail before the change: a daemon whose watches wait 3 s has the old configuration 3 s after the change, one whose watches wait 25 s until a watch ends.

Change: after a 410 or a lost connection, the watches that were sent before it are renewed with a timeout of 0, 0.1 to 0.3 s later and each at most once in 0.5 s. Lists report the revision of their last change, and a missing object counts as a change up to the revision of the list. The configuration is also renewed when another zone reports a newer change or version, once per version. A changed configuration or evacuation is sent in heartbeats at once. A response that has begun is not dropped. Parts of edge/watcher moved to modules of their own.

Result: the tests pass.

Callers gain a new configuration, evacuation or withdrawn key within its limit when one watch of a daemon is silent.

--- a/packages/core/src/geraniumshelf_core/errors.py
+++ b/packages/core/src/geraniumshelf_core/errors.py
@@ -128,6 +128,10 @@
     """The platform's object API failed, refused, or could not be reached."""
 
 
+class PlatformConnectionLost(PlatformError):
+    """The connection of a call was refused or closed before its response."""
+
+
 class PeerError(GeraniumshelfError):
     """A peer could not be reached, refused, or sent a malformed frame."""
 
--- a/packages/core/src/geraniumshelf_core/presence/freshness.py
+++ b/packages/core/src/geraniumshelf_core/presence/freshness.py
@@ -136,7 +136,12 @@
 
 
 def has_missed_changes(
-    state: PresenceState, own: PresenceHeartbeat, kind: int, seen: StoreRevision
+    state: PresenceState,
+    own: PresenceHeartbeat,
+    kind: int,
+    seen: StoreRevision,
+    *,
+    in_all_zones: bool = False,
 ) -> bool:
     """Return whether a daemon of the zone has reported a newer change.
 
@@ -145,7 +150,10 @@
         own: Newest heartbeat of this daemon.
         kind: Index of the kind in the changes of a heartbeat.
         seen: Revision up to which this daemon has seen all changes.
+        in_all_zones: Whether the reports of other zones count, too.
     """
+    if in_all_zones:
+        return is_newer_change_known(state, kind, seen)
     return any(
         peer.heartbeat.changes[kind] > seen
         for peer in state.peers.values()
--- a/packages/core/src/geraniumshelf_core/presence/versions.py
+++ b/packages/core/src/geraniumshelf_core/presence/versions.py
@@ -14,6 +14,9 @@
 
 # The others reply to the first heartbeat of a daemon within this time.
 _FIRST_REPLY_TIMEOUT_NS: Final[Nanoseconds] = SECOND_NS // 2
+# A response that arrives within this time of a report may have left the store
+# before the new version was written.
+_MAX_TRANSFER_NS: Final[Nanoseconds] = SECOND_NS
 
 
 @define
@@ -75,6 +78,25 @@
         )
 
 
+def has_missed_version(
+    state: VersionState, confirmed_at: Nanoseconds | None
+) -> bool:
+    """Return whether the store may have a newer version than it has told.
+
+    Once the store has responded, a newer version elsewhere is one that this
+    daemon cannot read or that the store has lost. Further calls would not help.
+
+    Args:
+        state: Versions that this daemon knows of.
+        confirmed_at: Time at which the store last confirmed that no change of
+            the configuration is missing, ``None`` before.
+    """
+    since = state.behind_since
+    if since is None:
+        return False
+    return confirmed_at is None or confirmed_at <= since + _MAX_TRANSFER_NS
+
+
 def begin_loading(state: VersionState) -> None:
     """Record that this daemon has to load everything again."""
     state.loaded_at = None
--- a/packages/daemon/src/geraniumshelf_daemon/edge/heartbeats.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/heartbeats.py
@@ -27,6 +27,7 @@
 )
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
+from geraniumshelf_daemon.edge.followed_kinds import is_change_urgent
 from geraniumshelf_daemon.edge.messages import encode_message
 from geraniumshelf_daemon.observability.events import Event, log_event
 
@@ -90,7 +91,13 @@
             await asyncio.sleep(_SEND_INTERVAL_S * jitter)
 
     def update_store_report(self, report: StoreReport) -> None:
-        """Set what the next heartbeats report about the store."""
+        """Set what the next heartbeats report about the store.
+
+        A change that other daemons must soon know is sent to them at once.
+        """
+        is_urgent = is_change_urgent(
+            self._own_heartbeat.changes, report.changes
+        )
         self._configuration_confirmed_at = report.confirmed_at
         self._own_heartbeat = evolve(
             self._own_heartbeat,
@@ -99,6 +106,9 @@
             store_era=report.era,
             store_available_for=report.store_available_for,
         )
+        if is_urgent:
+            self._next_send_at.clear()
+            self.send(self._clock())
 
     def announce(
         self, *, is_ready: bool, is_standby: bool, rate: float = 0
--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_follower.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_follower.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import Final
 
+from attrs import evolve
+
 from geraniumshelf_core.history.eras import StoreRevision
 from geraniumshelf_core.placement.cold_starts import (
     confirm_list,
@@ -12,9 +14,17 @@
 )
 from geraniumshelf_core.placement.commands import clear_servers
 from geraniumshelf_core.presence.state import StoreReport
-from geraniumshelf_core.presence.versions import begin_loading
+from geraniumshelf_core.presence.versions import (
+    begin_loading,
+    has_missed_version,
+)
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
-from geraniumshelf_daemon.edge.interface import PlatformStore, RecordKind
+from geraniumshelf_daemon.edge.followed_kinds import (
+    CONFIGURATION_INDEX,
+    FOLLOWED_KINDS,
+    SERVERS_INDEX,
+)
+from geraniumshelf_daemon.edge.interface import PlatformStore
 from geraniumshelf_daemon.edge.sinks import (
     ConfigurationSink,
     EvacuationSink,
@@ -25,23 +35,14 @@
     StoreAvailabilityTracker,
 )
 from geraniumshelf_daemon.edge.store_probe import StoreProbe
-from geraniumshelf_daemon.edge.watcher import (
-    RecordSink,
-    Watcher,
-    WatchRules,
-)
+from geraniumshelf_daemon.edge.watch_renewals import WatchRenewals
+from geraniumshelf_daemon.edge.watch_rules import RecordSink, WatchRules
+from geraniumshelf_daemon.edge.watcher import Watcher
 from geraniumshelf_daemon.observability.events import Event, log_event
 from geraniumshelf_daemon.observability.metric_names import Metric
 from geraniumshelf_daemon.observability.metrics import count_metric
 
 _RESTART_DELAY_S: Final = 0.5
-# In the order of ``changes`` in a heartbeat.
-_FOLLOWED_KINDS: Final = (
-    RecordKind.CONFIGURATION,
-    RecordKind.SERVERS,
-    RecordKind.EVACUATIONS,
-)
-_SERVERS_INDEX: Final = _FOLLOWED_KINDS.index(RecordKind.SERVERS)
 
 
 class StoreFollower:
@@ -68,7 +69,12 @@
             on_change: Called with each new configuration.
             rules: Timeouts and intervals of the watches.
         """
-        self._rules = rules
+        self._renewals = WatchRenewals(
+            clock,
+            random,
+            lambda: state.placement.policies.renews_lost_watches,
+        )
+        self._rules = evolve(rules, on_loss=self._renewals.record_loss)
         self._watchers: tuple[Watcher, ...] = ()
         self._state = state
         self._store = store
@@ -111,7 +117,12 @@
         """
         for kind_index, watcher in enumerate(self._watchers):
             watcher.renew_overdue(now)
-            if has_missed(kind_index, watcher.seen_revision):
+            if has_missed(kind_index, watcher.seen_revision) or (
+                kind_index == CONFIGURATION_INDEX
+                and has_missed_version(
+                    self._state.versions, watcher.confirmed_at
+                )
+            ):
                 watcher.renew(now)
 
     def confirm_servers(self, now: Nanoseconds) -> None:
@@ -135,13 +146,13 @@
     def _servers_confirmed_at(self) -> Nanoseconds | None:
         if not self._watchers:
             return None
-        watcher = self._watchers[_SERVERS_INDEX]
+        watcher = self._watchers[SERVERS_INDEX]
         confirmed_at = watcher.confirmed_at
         last_response_at = self._availability.last_response_at
         if confirmed_at is None or last_response_at is None:
             return None
         if watcher.is_disconnected or self._rules.is_behind(
-            _SERVERS_INDEX, watcher.seen_revision
+            SERVERS_INDEX, watcher.seen_revision
         ):
             return confirmed_at
         contact_since = self._availability.contact_since
@@ -171,8 +182,9 @@
                 self._random,
                 self._rules,
             )
-            for kind, sink in zip(_FOLLOWED_KINDS, sinks, strict=True)
+            for kind, sink in zip(FOLLOWED_KINDS, sinks, strict=True)
         )
+        self._renewals.start(self._watchers)
         workers = (*(watcher.run for watcher in self._watchers), self._probe)
         for worker in workers:
             self._tasks.append(asyncio.create_task(run_with_restart(worker)))
@@ -184,6 +196,7 @@
         outdated data, and servers that leave in the meantime are not used
         after the next start.
         """
+        self._renewals.stop()
         tasks = tuple(self._tasks)
         self._tasks.clear()
         for task in tasks:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_probe.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_probe.py
@@ -12,7 +12,7 @@
 from geraniumshelf_daemon.edge.store_availability import (
     StoreAvailabilityTracker,
 )
-from geraniumshelf_daemon.edge.watcher import WatchRules
+from geraniumshelf_daemon.edge.watch_rules import WatchRules
 from geraniumshelf_daemon.observability.events import Event, log_event
 
 # A daemon has contact_s, 3 s or more, to learn what it has missed.
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watch_policy.py
@@ -13,11 +13,12 @@
 )
 from geraniumshelf_core.presence.state import PresenceHeartbeat, PresenceState
 from geraniumshelf_core.units import Nanoseconds
+from geraniumshelf_daemon.edge.followed_kinds import CONFIGURATION_INDEX
 from geraniumshelf_daemon.edge.settings import OperatorBounds
 from geraniumshelf_daemon.edge.store_availability import (
     StoreAvailabilityTracker,
 )
-from geraniumshelf_daemon.edge.watcher import WatchRules
+from geraniumshelf_daemon.edge.watch_rules import WatchRules
 
 
 class WatchPolicy:
@@ -55,14 +56,21 @@
         )
 
     def has_missed(self, kind: int, seen_revision: StoreRevision) -> bool:
-        """Return whether an entry of the zone knows of a newer change.
+        """Return whether another entry knows of a newer change.
+
+        Reports of other zones count only for the configuration, which changes
+        rarely: a renewal for each change of a server would cost many calls.
 
         Args:
             kind: Index of the kind in ``changes`` of a heartbeat.
             seen_revision: Revision up to which all changes are known here.
         """
         return has_missed_changes(
-            self._presence, self._own_heartbeat(), kind, seen_revision
+            self._presence,
+            self._own_heartbeat(),
+            kind,
+            seen_revision,
+            in_all_zones=kind == CONFIGURATION_INDEX,
         )
 
     def _is_behind(self, kind: int, seen_revision: StoreRevision) -> bool:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/watcher.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watcher.py
@@ -2,80 +2,47 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 from random import Random
-from typing import Final, Protocol
+from typing import Final
 
-from attrs import frozen
-
-from geraniumshelf_core.errors import PlatformError, ResultCode
-from geraniumshelf_core.history.eras import (
-    SETTLING_NS,
-    EraState,
-    StoreRevision,
-    advance_era,
+from geraniumshelf_core.errors import (
+    PlatformConnectionLost,
+    PlatformError,
+    ResultCode,
 )
+from geraniumshelf_core.history.eras import StoreRevision
 from geraniumshelf_core.units import (
     MILLISECOND_NS,
     SECOND_NS,
     Nanoseconds,
     ns_to_seconds,
 )
+from geraniumshelf_daemon.edge.era_relists import EraRelist
 from geraniumshelf_daemon.edge.interface import (
     PlatformStore,
     RecordKind,
     RecordSet,
 )
+from geraniumshelf_daemon.edge.last_change import LastChange
 from geraniumshelf_daemon.edge.store_availability import (
     StoreAvailabilityTracker,
 )
+from geraniumshelf_daemon.edge.watch_retries import WatchRetries
+from geraniumshelf_daemon.edge.watch_rules import RecordSink, WatchRules
 from geraniumshelf_daemon.observability.events import Event, log_event
 
-# A failed watch is retried after this time, or once a probe has a response.
-_RETRY_DELAY_S: Final = 1.0
-# A failed watch is retried without delay only once in this time.
-_FAST_RETRY_INTERVAL_NS: Final[Nanoseconds] = 2 * SECOND_NS
 # A change that others know of may still be on its way to this daemon, over a
 # link that large changes fill. The limits on its delay are 2 s and more.
 _MAX_DELAY_NS: Final[Nanoseconds] = SECOND_NS
 # The store responds within this time after the wait of a watch has ended.
 _RESPONSE_MARGIN_NS: Final[Nanoseconds] = SECOND_NS
+# Calls to the store are priced, so a watch is not renewed more often than this.
+# Callers' limits on the delay of a change allow several such intervals.
+_MIN_RENEWAL_INTERVAL_NS: Final[Nanoseconds] = SECOND_NS // 2
 # Renewed watches fetch known changes; those after a failure test the store.
 _NO_WAIT_S: Final = 0
 
 
-class RecordSink(Protocol):
-    """Receives the objects of one kind."""
-
-    def replace(self, view: RecordSet, now: Nanoseconds) -> None:
-        """Apply the full list of objects."""
-
-    def change(self, view: RecordSet, now: Nanoseconds) -> None:
-        """Apply changed and removed objects."""
-
-
-@frozen
-class WatchRules:
-    """Timeouts and intervals of watches.
-
-    Attributes:
-        watch_timeout: Returns how long a watch may wait at a given time.
-        is_prober: Returns whether this daemon often probes a failing store.
-        batch_interval: Returns the time whose changes are fetched together.
-        is_behind: Returns whether another daemon knows of a newer change, for
-            the index of the kind in ``changes`` of a heartbeat and the revision
-            up to which all changes are known here.
-        max_list_age: Returns how long a list counts as current after the store
-            has responded.
-    """
-
-    watch_timeout: Callable[[Nanoseconds], Nanoseconds]
-    is_prober: Callable[[], bool]
-    batch_interval: Callable[[], Nanoseconds]
-    is_behind: Callable[[int, StoreRevision], bool]
-    max_list_age: Callable[[], Nanoseconds]
-
-
 class Watcher:
     """Lists and then watches one kind, and retries when that fails.
 
@@ -105,21 +72,18 @@
         self._sink = sink
         self._availability = availability
         self._clock = clock
-        self._random = random
         self._revision: StoreRevision | None = None
-        self._last_change = StoreRevision()
-        self._eras = EraState()
-        # Time of the list that is read once a new era has settled.
-        self._relist_at: Nanoseconds | None = None
+        self._last_change = LastChange()
+        self._relist = EraRelist()
         self._confirmed_at: Nanoseconds | None = None
         self._watch_started_at: Nanoseconds = 0
+        self._renewed_at: Nanoseconds = -_MIN_RENEWAL_INTERVAL_NS
         self._outdated_since: Nanoseconds | None = None
-        self._fast_retry_at: Nanoseconds = -_FAST_RETRY_INTERVAL_NS
         self._call: asyncio.Future[RecordSet] | None = None
         self._is_renewed = False
         self._is_call_dropped = False
-        self._may_retry = asyncio.Event()
-        self._has_response_begun = False
+        self._retries = WatchRetries(random)
+        self._response_begun = asyncio.Event()
         self._is_disconnected = False
 
     @property
@@ -145,7 +109,7 @@
     @property
     def last_change(self) -> StoreRevision:
         """Return the revision of the last change."""
-        return self._last_change
+        return self._last_change.revision
 
     async def run(self) -> None:
         """Follow the kind until the task is cancelled."""
@@ -163,8 +127,8 @@
         """
         if self._outdated_since is None:
             self._outdated_since = now
-        if now - self._outdated_since > _MAX_DELAY_NS and not self._is_renewed:
-            self._drop_call()
+        if now - self._outdated_since > _MAX_DELAY_NS:
+            self._renew_call(now)
 
     def renew_overdue(self, now: Nanoseconds) -> None:
         """Renew the watch if it has waited longer than it may now.
@@ -173,8 +137,18 @@
         been lost, or cut off together with this one, since the watch began.
         """
         max_age = self._rules.watch_timeout(now) + _RESPONSE_MARGIN_NS
-        if now - self._watch_started_at > max_age and not self._is_renewed:
-            self._drop_call()
+        if now - self._watch_started_at > max_age:
+            self._renew_call(now)
+
+    def renew_earlier(self, lost_at: Nanoseconds, now: Nanoseconds) -> None:
+        """Renew the watch if it was sent before another watch was lost.
+
+        Args:
+            lost_at: Time at which the other watch was lost.
+            now: Current time.
+        """
+        if self._watch_started_at < lost_at:
+            self._renew_call(now)
 
     def retry(self, answered_request_at: Nanoseconds) -> None:
         """Retry at once because the store has responded to another call.
@@ -184,12 +158,20 @@
         Args:
             answered_request_at: Time at which the answered call was sent.
         """
-        self._may_retry.set()
+        self._retries.end_delay()
         if self._watch_started_at < answered_request_at:
             self._drop_call()
 
+    def _renew_call(self, now: Nanoseconds) -> None:
+        """Fetch the changes at once unless the last renewal was recent."""
+        is_recent = now - self._renewed_at < _MIN_RENEWAL_INTERVAL_NS
+        if self._call is None or self._is_renewed or is_recent:
+            return
+        self._renewed_at = now
+        self._drop_call()
+
     def _drop_call(self) -> None:
-        if self._call is not None and not self._has_response_begun:
+        if self._call is not None and not self._response_begun.is_set():
             self._is_call_dropped = True
             self._call.cancel()
 
@@ -198,35 +180,28 @@
             requested_at = self._clock()
             view = await self._store.list_records(self._kind)
             now = self._clock()
-            self._record_era(view.revision.era, now)
+            self._relist.record_era(view.revision.era, now)
             self._availability.record_store_response(view.revision.era, now)
             self._sink.replace(view, now)
+            self._last_change.record_list(view)
             self._record_confirmation(view, requested_at)
             return
         changes = await self._watch(self._revision)
         now = self._clock()
         if changes is not None:
             self._availability.record_store_response(changes.revision.era, now)
-        if self._relist_at is not None and now >= self._relist_at:
-            self._relist_at = None
+        if self._relist.end_if_due(now):
             self._revision = None
             return
         if changes is None:
             return
         if changes.records:
-            self._last_change = max(
-                self._last_change, changes.last_change_revision
-            )
+            self._last_change.record_changes(changes)
             self._sink.change(changes, now)
         self._record_confirmation(changes, now)
         if changes.records:
             await asyncio.sleep(ns_to_seconds(self._rules.batch_interval()))
 
-    def _record_era(self, era: int, now: Nanoseconds) -> None:
-        if advance_era(self._eras, era):
-            # The first list may lack entries that are written again later.
-            self._relist_at = now + SETTLING_NS
-
     def _record_confirmation(self, view: RecordSet, time: Nanoseconds) -> None:
         if self._is_disconnected:
             self._is_disconnected = False
@@ -246,7 +221,7 @@
         self._watch_started_at = self._clock()
         self._call = asyncio.ensure_future(
             self._store.watch_records(
-                self._kind, revision, wait_s, self._mark_response_begun
+                self._kind, revision, wait_s, self._response_begun.set
             )
         )
         try:
@@ -261,49 +236,44 @@
                 revision=revision.number,
             )
             return None
-        except PlatformError:
-            self._is_renewed = False
-            raise
         finally:
             self._call = None
             self._is_call_dropped = False
-            self._has_response_begun = False
+            self._response_begun.clear()
         self._is_renewed = False
         return changes
 
-    def _mark_response_begun(self) -> None:
-        self._has_response_begun = True
-
     def _watch_wait_s(self) -> float:
         if self._is_renewed or self._is_disconnected:
             return _NO_WAIT_S
         now = self._clock()
-        wait_s = ns_to_seconds(self._rules.watch_timeout(now))
-        if self._relist_at is not None:
-            time_left = max(0, self._relist_at - now)
-            wait_s = min(wait_s, ns_to_seconds(time_left))
-        return wait_s
+        timeout = self._rules.watch_timeout(now)
+        return ns_to_seconds(self._relist.limit_wait(timeout, now))
 
     async def _recover(self, error: PlatformError) -> None:
+        # The failure of a renewal or a retry follows an earlier loss, and would
+        # cause renewals without end.
+        is_expected = self._is_renewed or self._is_disconnected
+        self._is_renewed = False
+        if not is_expected and _is_loss(error):
+            self._rules.on_loss()
         if error.code is ResultCode.WATCH_TOO_OLD:
             log_event(Event.WATCH_RESTARTED, self._kind.value)
             self._revision = None
             return
         self._availability.record_store_failure()
-        now = self._clock()
-        if not self._is_disconnected:
+        is_first = not self._is_disconnected
+        if is_first:
             self._is_disconnected = True
             log_event(Event.PLATFORM_LOST, error.detail)
-            if now - self._fast_retry_at >= _FAST_RETRY_INTERVAL_NS:
-                # Only the connection may have been lost; a new one may work.
-                self._fast_retry_at = now
-                return
-        self._may_retry.clear()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(
-                _RETRY_DELAY_S * (1 + self._random.random())
-            ):
-                await self._may_retry.wait()
+        await self._retries.wait(self._clock(), is_first=is_first)
+
+
+def _is_loss(error: PlatformError) -> bool:
+    """Return whether the cause of a failed watch may silence other watches."""
+    return error.code is ResultCode.WATCH_TOO_OLD or isinstance(
+        error, PlatformConnectionLost
+    )
 
 
 def _is_task_cancelled() -> bool:
--- a/packages/daemon/src/geraniumshelf_daemon/platform/client.py
+++ b/packages/daemon/src/geraniumshelf_daemon/platform/client.py
@@ -23,10 +23,17 @@
 )
 from tornado.httputil import HTTPHeaders, HTTPInputError
 from tornado.iostream import IOStream
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.simple_httpclient import (
+    HTTPStreamClosedError,
+    SimpleAsyncHTTPClient,
+)
 from tornado.tcpclient import TCPClient
 
-from geraniumshelf_core.errors import PlatformError, ResultCode
+from geraniumshelf_core.errors import (
+    PlatformConnectionLost,
+    PlatformError,
+    ResultCode,
+)
 from geraniumshelf_daemon.observability.metric_names import Metric
 from geraniumshelf_daemon.observability.metrics import count_metric
 from geraniumshelf_daemon.observability.traffic import TrafficCounters
@@ -99,7 +106,8 @@
 
     The code is ``PLATFORM_UNREACHABLE`` if the call was refused, lost or timed
     out and for a 5xx status, and ``PLATFORM_PROTOCOL`` for any other status
-    that has no result code.
+    that has no result code. The error is a ``PlatformConnectionLost`` if the
+    connection was refused or closed.
     """
 
     def __init__(
@@ -170,6 +178,11 @@
         self.traffic.count_sent(len(path) + len(body or b''))
         try:
             response = await self._fetch(request, timeout_s, on_response_start)
+        except (HTTPStreamClosedError, ConnectionError) as error:
+            count_metric(Metric.PLATFORM_FAILURES)
+            raise PlatformConnectionLost(
+                ResultCode.PLATFORM_UNREACHABLE, f'{method} {path}: {error}'
+            ) from error
         except (HTTPClientError, HTTPInputError, OSError) as error:
             count_metric(Metric.PLATFORM_FAILURES)
             raise PlatformError(
--- a/tests/core/presence/test_freshness.py
+++ b/tests/core/presence/test_freshness.py
@@ -103,6 +103,12 @@
     assert not has_missed_changes(state, _ME, 1, StoreRevision(3, 1))
     far = evolve(reported, zone='b1')
     assert not has_missed_changes(_large(far), _ME, 1, StoreRevision(2, 19))
+    assert has_missed_changes(
+        _large(far), _ME, 1, StoreRevision(2, 19), in_all_zones=True
+    )
+    assert not has_missed_changes(
+        _large(far), _ME, 1, StoreRevision(2, 20), in_all_zones=True
+    )
     assert not has_missed_changes(
         _large(_confirmed('a')), _ME, 1, StoreRevision(2, 0)
     )
--- a/tests/core/presence/test_versions.py
+++ b/tests/core/presence/test_versions.py
@@ -8,6 +8,7 @@
     VersionState,
     begin_loading,
     compare_versions,
+    has_missed_version,
 )
 from geraniumshelf_core.units import SECOND_NS
 
@@ -65,3 +66,14 @@
     later = _NOW + 60 * SECOND_NS
     compare_versions(state, _reported(8), 0, later, is_loaded=False)
     assert state.required_version == 8
+
+
+def test_version_elsewhere_is_missed_until_the_store_has_responded() -> None:
+    """Guard against calls without end for a version that cannot be read."""
+    state = VersionState()
+    compare_versions(state, _reported(6), 6, _NOW, is_loaded=True)
+    assert not has_missed_version(state, _NOW)
+    compare_versions(state, _reported(7), 6, _NOW, is_loaded=True)
+    assert has_missed_version(state, None)
+    assert has_missed_version(state, _NOW + SECOND_NS // 2)
+    assert not has_missed_version(state, _NOW + 2 * SECOND_NS)
--- a/tests/daemon/edge/follower_harness.py
+++ b/tests/daemon/edge/follower_harness.py
@@ -28,9 +28,10 @@
     Record,
     RecordKind,
 )
-from geraniumshelf_daemon.edge.settings import EdgeSettings
+from geraniumshelf_daemon.edge.settings import EdgeSettings, OperatorBounds
 from geraniumshelf_daemon.edge.state import EdgeState, build_state
 from geraniumshelf_daemon.edge.store_follower import StoreFollower
+from geraniumshelf_daemon.edge.versions import report_versions
 from geraniumshelf_daemon.edge.watch_policy import WatchPolicy
 from geraniumshelf_platform.records import decode_record
 from geraniumshelf_standins.virtual_time import VirtualTimeLoop
@@ -38,6 +39,8 @@
 BOUNDS = evolve(DEFAULT_BOUNDS, server_heartbeat_interval=SECOND_NS * 3 // 2)
 CONTACT_S = BOUNDS.contact_time / SECOND_NS
 _TICK_S = 0.25
+# More instances than a small fleet has.
+_STANDBYS = 20
 
 
 def make_server(name: str) -> ListedServer:
@@ -75,25 +78,37 @@
     def __init__(
         self,
         name: str,
-        names: tuple[str, ...],
+        zones: Mapping[str, str],
         path: StorePath,
         ports: dict[str, DatagramPort],
         random: Random,
+        bounds: OperatorBounds = BOUNDS,
     ) -> None:
-        """Start to follow the store."""
+        """Start to follow the store.
+
+        Args:
+            name: Name of this instance.
+            zones: Zone of each instance of the fleet.
+            path: Connection to the store.
+            ports: Sockets of all daemons by IP address.
+            random: Adds jitter.
+            bounds: Limits of the operator.
+        """
+        zone = zones[name]
         settings = EdgeSettings(
-            name, 'a1', {'a1': 'a'}, name, 1, '', '', '', 0, (), '', '', BOUNDS
+            name, zone, {zone: 'a'}, name, 1, '', '', '', 0, (), '', '', bounds
         )
+        self.path = path
         self.state: EdgeState = build_state(settings, clock())
         self._presence = PresenceState(name, is_complete=True)
-        for other in names:
+        for other, other_zone in zones.items():
             register_instance(
-                self._presence, other, RegisteredInstance('a1'), other
+                self._presence, other, RegisteredInstance(other_zone), other
             )
         self._heartbeats = Heartbeats(
             self._presence,
             PresenceHeartbeat(
-                name, random.getrandbits(32), 0, 'a1', name, '', True
+                name, random.getrandbits(32), 0, zone, name, '', True
             ),
             _Port(ports, name),
             clock,
@@ -102,7 +117,7 @@
         self._watch_policy = WatchPolicy(
             self._presence,
             lambda: self._heartbeats.own_heartbeat,
-            lambda: BOUNDS,
+            lambda: bounds,
         )
         self._store_follower = StoreFollower(
             self.state,
@@ -141,6 +156,7 @@
             self._heartbeats.update_store_report(
                 self._store_follower.build_report(now)
             )
+            report_versions(self.state, self._presence, now)
             await asyncio.sleep(_TICK_S)
 
 
@@ -168,6 +184,10 @@
     seed: int,
     scenario: Callable[[FollowerFleet], Awaitable[None]],
     servers: tuple[str, ...] = ('s1', 's2'),
+    *,
+    zones: Mapping[str, str] | None = None,
+    has_standbys: bool = False,
+    bounds: OperatorBounds = BOUNDS,
 ) -> None:
     """Run a scenario in virtual time.
 
@@ -176,7 +196,14 @@
         seed: Seed for the start times and the jitter of the daemons.
         scenario: Steps and assertions of the test.
         servers: Names of the servers in the store.
+        zones: Zone of each daemon, ``a1`` if not given.
+        has_standbys: Whether silent standbys of another zone make the fleet a
+            large one.
+        bounds: Limits of the operator.
     """
+    fleet_zones = dict.fromkeys(cuts, 'a1') | dict(zones or {})
+    if has_standbys:
+        fleet_zones |= {f'z{number}': 'z1' for number in range(_STANDBYS)}
 
     async def main() -> None:
         random = Random(seed)
@@ -190,10 +217,11 @@
             await asyncio.sleep(random.random() * _TICK_S)
             daemons[name] = FollowerDaemon(
                 name,
-                tuple(cuts),
+                fleet_zones,
                 StorePath(store, times),
                 ports,
                 Random(random.random()),
+                bounds,
             )
         try:
             await scenario(FollowerFleet(store, daemons))
--- a/tests/daemon/edge/test_watcher.py
+++ b/tests/daemon/edge/test_watcher.py
@@ -18,7 +18,8 @@
 from geraniumshelf_daemon.edge.store_availability import (
     StoreAvailabilityTracker,
 )
-from geraniumshelf_daemon.edge.watcher import Watcher, WatchRules
+from geraniumshelf_daemon.edge.watch_rules import WatchRules
+from geraniumshelf_daemon.edge.watcher import Watcher
 from geraniumshelf_standins.virtual_time import VirtualTimeLoop
 
 _OLD = StoreRevision(0, 10)
@@ -102,7 +103,7 @@
 
 
 async def _follow_until_change(
-    store: _Store, rules: WatchRules, *, announces: bool
+    store: _Store, rules: WatchRules, *, announces: bool, loses: bool
 ) -> float:
     """Return when a change was applied.
 
@@ -110,6 +111,7 @@
         store: Holds the change from the start on.
         rules: Timeouts and intervals of the watch.
         announces: Whether peers announce the change at once.
+        loses: Whether other watches are lost all the time.
     """
     loop = asyncio.get_running_loop()
     sink = _Sink()
@@ -133,6 +135,8 @@
             if sink.changed.is_set():
                 return loop.time()
             watcher.renew_overdue(clock())
+            if loses:
+                watcher.renew_earlier(clock(), clock())
             if announces and watcher.seen_revision < _NEW:
                 watcher.renew(clock())
         raise AssertionError(f'no change after {store.watches} watches')
@@ -141,11 +145,15 @@
 
 
 def _run_until_change(
-    store: _Store, rules: WatchRules = _RULES, *, announces: bool = True
+    store: _Store,
+    rules: WatchRules = _RULES,
+    *,
+    announces: bool = True,
+    loses: bool = False,
 ) -> float:
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(
-            _follow_until_change(store, rules, announces=announces)
+            _follow_until_change(store, rules, announces=announces, loses=loses)
         )
 
 
@@ -161,6 +169,13 @@
     assert store.watches == 1
 
 
+def test_begun_response_is_not_dropped_when_another_watch_is_lost() -> None:
+    """Guard against a long response that is dropped with the history."""
+    store = _Store(3)
+    assert _run_until_change(store, announces=False, loses=True) < 3.5
+    assert store.watches == 1
+
+
 def test_response_that_begins_late_is_not_requested_without_end() -> None:
     """Guard against endless renewals if the head of a response is late.
 
