Count a probe without response as a failing store

Cause: an unanswered probe was only logged. A daemon whose watches wait 25 s did not notice silent outages of 3.2 and 4 s, so it took the entries that expired in it for servers that had left.

Evidence: test_servers_stay_in_use_after_an_outage_within_a_long_watch fails before the change for 3.2 and 4 s: a daemon has no server 0.3 s after the end.

Change: a probe that has failed or is unanswered for 1 s records a failing store, unless the store has responded to a later call. No call is added.

Result: the test passes for 3.2, 4, 6 and 12 s.

Callers keep their servers through a short outage of the store.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_availability.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_availability.py
@@ -62,6 +62,19 @@
         record_failure(self._availability)
         self._failure_event.set()
 
+    def record_unanswered_probe(self, requested_at: Nanoseconds) -> None:
+        """Record that a probe has no response.
+
+        It needs no other probe to find out whether the store responds.
+
+        Args:
+            requested_at: Time at which the probe was sent. It does not count if
+                the store has responded to a later call.
+        """
+        last_at = self._availability.last_response_at
+        if last_at is None or last_at < requested_at:
+            record_failure(self._availability)
+
     async def wait_for_failure(self) -> None:
         """Wait for a failed call; one since the last wait counts."""
         await self._failure_event.wait()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/store_probe.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/store_probe.py
@@ -20,6 +20,9 @@
 # Daemons that are not the prober of their zone probe less often, to spare a
 # store in trouble.
 _SECONDARY_PROBE_INTERVAL_S: Final = 1.0
+# An outage in which entries can expire lasts for some seconds. It is noticed by
+# a probe that was sent this time ago and has no response yet.
+_LATE_RESPONSE_S: Final = 1.0
 # A list counts as current for this many intervals of probes.
 _PROBES_PER_LIST_AGE: Final = 2
 
@@ -111,14 +114,22 @@
         self, on_response: Callable[[Nanoseconds], None]
     ) -> None:
         requested_at = self._clock()
+        timer = asyncio.get_running_loop().call_later(
+            _LATE_RESPONSE_S,
+            self._availability.record_unanswered_probe,
+            requested_at,
+        )
         try:
             # The shortest list, and a stale one will do: the cheapest call.
             view = await self._store.list_records(
                 RecordKind.EVACUATIONS, allow_stale=True
             )
         except PlatformError as error:
+            self._availability.record_unanswered_probe(requested_at)
             log_event(Event.PROBE_UNANSWERED, error.detail)
             return
+        finally:
+            timer.cancel()
         self._availability.record_store_response(
             view.revision.era, self._clock()
         )
--- a/tests/daemon/edge/test_cuts.py
+++ b/tests/daemon/edge/test_cuts.py
@@ -103,3 +103,36 @@
 
     for seed in range(100):
         run_fleet(dict.fromkeys(('n1', 'n2', 'n3'), silent), seed, scenario)
+
+
+@pytest.mark.parametrize('length_s', [3.2, 4.0, 6.0, 12.0])
+def test_servers_stay_in_use_after_an_outage_within_a_long_watch(
+    length_s: float,
+) -> None:
+    """Guard against an empty server list at daemons whose watches wait 25 s.
+
+    The outage is silent and shorter than the watches, so no watch fails in it.
+    """
+    end_s = _CUT_S + length_s
+    cut = ((_CUT_S, end_s),)
+
+    async def scenario(fleet: FollowerFleet) -> None:
+        await sleep_until(end_s - 0.1)
+        for name in ('s1', 's2'):
+            fleet.store.put(RecordKind.SERVERS, name, None)
+        for step in range(1, 19):
+            await sleep_until(end_s + step / 10)
+            for name, daemon in fleet.daemons.items():
+                assert daemon.servers == {'s1', 's2'}, (step, name)
+        fleet.store.put(RecordKind.SERVERS, 's2', make_server('s2'))
+        await sleep_until(end_s + CONTACT_S)
+        for name, daemon in fleet.daemons.items():
+            assert daemon.servers == {'s2'}, name
+
+    for seed in _SEEDS:
+        run_fleet(
+            dict.fromkeys(('n1', 'n2', 'n3'), cut),
+            seed,
+            scenario,
+            has_standbys=True,
+        )
