--- a/packages/daemon/src/geraniumshelf_daemon/edge/watcher.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/watcher.py
@@ -30,6 +30,8 @@
 from geraniumshelf_daemon.edge.watch_retries import WatchRetries
 from geraniumshelf_daemon.edge.watch_rules import RecordSink, WatchRules
 from geraniumshelf_daemon.observability.events import Event, log_event
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric
 
 # A change that others know of may still be on its way to this daemon, over a
 # link that large changes fill. The limits on its delay are 2 s and more.
@@ -230,6 +232,7 @@
             if not self._is_call_dropped or _is_task_cancelled():
                 raise
             self._is_renewed = True
+            count_metric(Metric.WATCHES_RENEWED)
             log_event(
                 Event.WATCH_RESTARTED,
                 self._kind.value,
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -41,6 +41,7 @@
     PEERS_CONNECTED = 'peers_connected'
     PLATFORM_CALLS = 'platform_calls'
     PLATFORM_FAILURES = 'platform_failures'
+    WATCHES_RENEWED = 'watches_renewed'
     CONFIGURATION_REVISION = 'configuration_revision'
     CONFIGURATION_NEWEST = 'configuration_newest'
     CONFIGURATION_BEHIND = 'configuration_behind_seconds'
