--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -37,6 +37,8 @@
             full and failing.
         plans_by_demand: Whether spills are planned by the demand that the
             daemons report to each other, instead of by slots only.
+        renews_lost_watches: Whether all watches of the store are renewed after
+            one of them was lost.
     """
 
     work_weight: float = 1
@@ -48,6 +50,7 @@
     shares_readings: bool = True
     counts_rejections: bool = True
     plans_by_demand: bool = True
+    renews_lost_watches: bool = True
 
 
 DEFAULT_POLICIES: Final = Policies()
