Accept a grant of tokens only once

Cause: a grant of tokens named its request only by a time that several requests shared, and each copy of a repeated datagram counted.

Change: each request to a daemon has a time of its own. The first grant for it counts; further ones, and those that an earlier run requested, are dropped and counted in `grants_dropped`.

Callers gain that servers do not get more than the limits of other accounts allow.

--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -15,7 +15,6 @@
     PresenceState,
     RegisteredInstance,
 )
-from geraniumshelf_core.shares.messages import TokenGrant
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.heartbeats import Heartbeats
@@ -99,7 +98,7 @@
             self._token_exchange.request_tokens,
             owners.has_other_owner,
         )
-        self._port.register(TokenGrant, self.tokens.receive_grant)
+        self._token_exchange.forward_grants(self.tokens.receive_grant)
         self._limit_owners = LimitOwners(
             state.placement,
             self.presence,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/token_exchange.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/token_exchange.py
@@ -15,11 +15,18 @@
     record_token_demand,
 )
 from geraniumshelf_core.shares.quotas import AccountQuotas, time_to_admission
+from geraniumshelf_core.shares.token_requests import (
+    PendingTokenRequests,
+    begin_pending,
+    end_pending,
+)
 from geraniumshelf_core.shares.transfers import TokenScope, grant_tokens
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.owners import OwnerView
 from geraniumshelf_daemon.edge.tokens import TokenDemand
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric
 
 # Number of entry instances that get a request for the same tokens. Tokens that
 # several of them grant for one request may be lost.
@@ -59,6 +66,7 @@
         self._own_heartbeat = own_heartbeat
         self._clock = clock
         self._random = random
+        self._pending = PendingTokenRequests()
         port.register(TokenRequest, self._grant)
 
     async def run(self) -> None:
@@ -68,13 +76,21 @@
             if self._owners.is_pooling:
                 self._fetch_tokens(self._clock())
 
+    def forward_grants(self, receive: Callable[[TokenGrant], None]) -> None:
+        """Pass the first grant for each request to a function."""
+
+        def receive_first(grant: TokenGrant) -> None:
+            if end_pending(self._pending, grant):
+                receive(grant)
+            else:
+                count_metric(Metric.GRANTS_DROPPED)
+
+        self._port.register(TokenGrant, receive_first)
+
     def request_tokens(self, demand: TokenDemand, now: Nanoseconds) -> None:
         """Request tokens of an account from other entry instances."""
-        request = TokenRequest(
-            self._own_heartbeat().name, now, demand.account, demand.wanted
-        )
         for name in self._choose_recipients(demand):
-            self._send(name, request)
+            self._request(name, demand.account, demand.wanted, now)
 
     def _choose_recipients(self, demand: TokenDemand) -> list[str]:
         if demand.scope is TokenScope.OWNER:
@@ -103,9 +119,14 @@
             for owners in other_region_owners:
                 owner = find_owner(owners, account)
                 if owner is not None:
-                    self._send(
-                        owner, TokenRequest(own_name, now, account, wanted_each)
-                    )
+                    self._request(owner, account, wanted_each, now)
+
+    def _request(
+        self, name: str, account: str, wanted: int, now: Nanoseconds
+    ) -> None:
+        requested_at = begin_pending(self._pending, account, now)
+        own_name = self._own_heartbeat().name
+        self._send(name, TokenRequest(own_name, requested_at, account, wanted))
 
     def _grant(self, request: TokenRequest) -> None:
         now = self._clock()
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -24,6 +24,7 @@
     # Allowances.
     TOKENS_REQUESTED = 'tokens_requested'
     LOANS_OUT = 'loans_out'
+    GRANTS_DROPPED = 'grants_dropped'
 
     # Backend servers.
     BACKENDS_EJECTED = 'backends_ejected'
