Transfer the unspent tokens with the loan of a share

Cause: a standby rests its share for 1.1 s after its start and then waits for the request of an entry. Nobody uses the share meanwhile, and its tokens were lost, as were those of an entry that lends its shares to the owner.

Change: the datagram `LoanTokens` follows a loan. A standby states for how long nobody has used its share; an entry sends the tokens that leave its bucket. A message counts once, within 0.5 s of its request, and not for an earlier run. The tokens that the bucket may have filled with in transit are deducted.

--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -30,6 +30,8 @@
             such a request still starts in a crowded region.
         keeps_server_limits: Whether servers get no more requests than the limit
             that they name.
+        lends_tokens: Whether the tokens of a lent share go to the daemon that
+            borrows it.
     """
 
     work_weight: float = 1
@@ -38,6 +40,7 @@
     crowded_above: float = 0.9
     late_part: float = 0.3
     keeps_server_limits: bool = True
+    lends_tokens: bool = True
 
 
 DEFAULT_POLICIES: Final = Policies()
--- a/packages/core/src/geraniumshelf_core/shares/messages.py
+++ b/packages/core/src/geraniumshelf_core/shares/messages.py
@@ -63,6 +63,24 @@
     requested_at: Nanoseconds
 
 
+@frozen
+class LoanTokens:
+    """Tokens that are transferred with a ``WholeShareLoan`` or ``ShareLoan``.
+
+    Attributes:
+        lender: Instance that lends.
+        requested_at: Time of the request on the clock of the borrower.
+        unused: Time for which nobody has used the lent whole share,
+            nanoseconds; 0 for a loan of single accounts.
+        tokens: Tokens that have left the buckets of the lender, by account.
+    """
+
+    lender: str
+    requested_at: Nanoseconds
+    unused: Nanoseconds
+    tokens: dict[str, float]
+
+
 @frozen
 class TokenRequest:
     """Request for tokens of an account that has waiting requests.
--- a/packages/core/src/geraniumshelf_core/shares/owners.py
+++ b/packages/core/src/geraniumshelf_core/shares/owners.py
@@ -132,7 +132,7 @@
 
 
 def deposit_tokens(
-    quotas: AccountQuotas, account: str, tokens: int, now: Nanoseconds
+    quotas: AccountQuotas, account: str, tokens: float, now: Nanoseconds
 ) -> None:
     """Add tokens of another bucket to the own one, up to its capacity.
 
--- a/packages/core/src/geraniumshelf_core/shares/quotas.py
+++ b/packages/core/src/geraniumshelf_core/shares/quotas.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field
 
+from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
 from geraniumshelf_core.shares.bucket import (
     ShareBucket,
     resize,
@@ -79,6 +80,7 @@
         started_at: Start of this daemon, by which its previous run had ended;
             ``None`` if it is not known.
         shares: Share by account name.
+        policies: The policies in use.
     """
 
     overshoot: float
@@ -87,6 +89,7 @@
     whole_shares: WholeShares = field(factory=WholeShares)
     started_at: Nanoseconds | None = None
     shares: dict[str, AccountShare] = field(factory=dict)
+    policies: Policies = DEFAULT_POLICIES
 
 
 def divide_quotas(
@@ -163,6 +166,12 @@
     return time_to_token(share.bucket)
 
 
+def bucket_rate(quotas: AccountQuotas, account: str) -> float:
+    """Return the rate of the bucket of an account, tokens per second."""
+    share = quotas.shares.get(account)
+    return 0 if share is None else share.bucket.rate
+
+
 def describe_share(
     quotas: AccountQuotas, account: str, now: Nanoseconds
 ) -> str:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -10,6 +10,7 @@
 from geraniumshelf_core.placement.server_limits import LimitNotice
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
+    LoanTokens,
     ShareLoan,
     ShareRequest,
     TokenGrant,
@@ -32,6 +33,7 @@
     | LimitNotice
     | PermitRequest
     | PermitGrant
+    | LoanTokens
 )
 
 # The index of a type in this tuple identifies it in datagrams.
@@ -47,6 +49,7 @@
     LimitNotice,
     PermitRequest,
     PermitGrant,
+    LoanTokens,
 )
 _NUMBER: Final = (int, float)
 _FIELD_TYPES: Final = {
@@ -80,6 +83,7 @@
     LimitNotice: (str, int, (int, float, type(None)), int),
     PermitRequest: (str, int, str, int, _NUMBER, int, int),
     PermitGrant: (str, int, str, int, int, int),
+    LoanTokens: (str, int, int, dict),
 }
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/share_exchange.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/share_exchange.py
@@ -8,15 +8,22 @@
 
 from geraniumshelf_core.presence.queries import assigned_standbys
 from geraniumshelf_core.presence.state import PresenceHeartbeat, PresenceState
+from geraniumshelf_core.shares.loan_tokens import (
+    MIN_TOKENS,
+    AcceptedTokens,
+    accept_loan_tokens,
+    lend_with_tokens,
+    unused_time,
+)
 from geraniumshelf_core.shares.loans import LOAN_TERM_NS, wanted_loans
 from geraniumshelf_core.shares.messages import (
+    LoanTokens,
     ShareLoan,
     ShareRequest,
     WholeShareLoan,
     WholeShareRequest,
 )
 from geraniumshelf_core.shares.owners import (
-    lend_to_owner,
     owned_accounts,
     owner_loan_term,
 )
@@ -35,6 +42,8 @@
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.messages import encode_message
 from geraniumshelf_daemon.edge.owners import OwnerView
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric
 
 # Interval between two rounds of requests; the term of a loan covers two of
 # them.
@@ -81,10 +90,12 @@
         self._own_heartbeat = own_heartbeat
         self._clock = clock
         self._random = random
+        self._accepted = AcceptedTokens()
         port.register(ShareRequest, self._lend)
         port.register(ShareLoan, self._borrow)
         port.register(WholeShareRequest, self._lend_whole)
         port.register(WholeShareLoan, self._borrow_whole)
+        port.register(LoanTokens, self._accept_tokens)
 
     async def run(self) -> None:
         """Request shares until the task is cancelled."""
@@ -153,23 +164,29 @@
         if self._owners.is_pooling:
             term = owner_loan_term(self._quotas.whole_shares, now)
         lent = {}
+        tokens = {}
         for account, wanted in request.wanted.items():
-            share = self._lend_share(request.name, account, wanted, term)
+            share, surplus = self._lend_share(
+                request.name, account, wanted, term
+            )
             if share:
                 lent[account] = share
+            if surplus >= MIN_TOKENS:
+                tokens[account] = surplus
+        name = self._own_heartbeat().name
         if lent:
-            loan = ShareLoan(
-                self._own_heartbeat().name, request.requested_at, term, lent
-            )
+            loan = ShareLoan(name, request.requested_at, term, lent)
             self._reply(request.name, loan)
+        self._send_tokens(request, 0, tokens)
 
     def _lend_share(
         self, name: str, account: str, wanted: float, term: Nanoseconds
-    ) -> float:
+    ) -> tuple[float, float]:
+        """Lend shares; return them and the tokens that the bucket loses."""
         now = self._clock()
         if self._owners.owner_of(account) == name:
-            return lend_to_owner(self._quotas, account, name, term, now)
-        return lend_share(self._quotas, account, name, wanted, now)
+            return lend_with_tokens(self._quotas, account, name, term, now)
+        return lend_share(self._quotas, account, name, wanted, now), 0
 
     def _borrow(self, loan: ShareLoan) -> None:
         for account, share in loan.lent.items():
@@ -184,18 +201,43 @@
 
     def _lend_whole(self, request: WholeShareRequest) -> None:
         own_heartbeat = self._own_heartbeat()
-        if own_heartbeat.is_standby and lend_whole_share(
-            self._quotas.whole_shares, request.name, self._clock()
+        whole_shares = self._quotas.whole_shares
+        now = self._clock()
+        unused = unused_time(whole_shares, now)
+        if not own_heartbeat.is_standby or not lend_whole_share(
+            whole_shares, request.name, now
         ):
-            loan = WholeShareLoan(own_heartbeat.name, request.requested_at)
-            self._reply(request.name, loan)
+            return
+        name = own_heartbeat.name
+        self._reply(request.name, WholeShareLoan(name, request.requested_at))
+        self._send_tokens(request, unused, {})
 
     def _borrow_whole(self, loan: WholeShareLoan) -> None:
         borrow_whole_share(
             self._quotas.whole_shares, loan.name, loan.requested_at
         )
 
-    def _reply(self, name: str, loan: ShareLoan | WholeShareLoan) -> None:
+    def _send_tokens(
+        self,
+        request: ShareRequest | WholeShareRequest,
+        unused: Nanoseconds,
+        tokens: dict[str, float],
+    ) -> None:
+        if self._quotas.policies.lends_tokens and (unused or tokens):
+            name = self._own_heartbeat().name
+            message = LoanTokens(name, request.requested_at, unused, tokens)
+            self._reply(request.name, message)
+
+    def _accept_tokens(self, message: LoanTokens) -> None:
+        if self._own_heartbeat().is_standby:
+            return
+        now = self._clock()
+        if accept_loan_tokens(self._accepted, self._quotas, message, now):
+            count_metric(Metric.LOAN_TOKENS_ACCEPTED)
+
+    def _reply(
+        self, name: str, reply: ShareLoan | WholeShareLoan | LoanTokens
+    ) -> None:
         peer = self._presence.peers.get(name)
         if peer is not None:
-            self._port.send(peer.heartbeat.ip, loan)
+            self._port.send(peer.heartbeat.ip, reply)
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -24,6 +24,7 @@
     # Allowances.
     TOKENS_REQUESTED = 'tokens_requested'
     LOANS_OUT = 'loans_out'
+    LOAN_TOKENS_ACCEPTED = 'loan_tokens_accepted'
     GRANTS_DROPPED = 'grants_dropped'
 
     # Backend servers.
--- a/tests/daemon/edge/test_messages.py
+++ b/tests/daemon/edge/test_messages.py
@@ -8,6 +8,7 @@
 from geraniumshelf_core.history.eras import StoreRevision
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
+    LoanTokens,
     ShareLoan,
     ShareRequest,
     TokenGrant,
@@ -53,6 +54,7 @@
         WholeShareLoan('n1', 5),
         TokenRequest('n1', 5, 'shop', 3),
         TokenGrant(5, 'shop', 2, 9),
+        LoanTokens('n1', 5, 900, {'shop': 0.25}),
     ],
 )
 def test_message_comes_back(message: Message) -> None:
