Give tokens by priority and state a time for each refused request

Cause: waiting requests of an account took tokens in any order, new requests overtook them, and refused callers were told the same time, with jitter.

A wait that ended without a token makes the daemon refuse only requests of the same or lower priority at once. `Policies.orders_tokens` disables all of it.

Result: three requests that wait with priorities 2, 1 and 0 are served as 0, 1 and 2.

Callers gain that urgent requests are served first within their account, and that retries find a token.

--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -30,6 +30,8 @@
             such a request still starts in a crowded region.
         keeps_server_limits: Whether servers get no more requests than the limit
             that they name.
+        orders_tokens: Whether waiting requests of an account get tokens by
+            priority, and refused ones are told different times.
         lends_tokens: Whether the tokens of a lent share go to the daemon that
             borrows it.
     """
@@ -40,6 +42,7 @@
     crowded_above: float = 0.9
     late_part: float = 0.3
     keeps_server_limits: bool = True
+    orders_tokens: bool = True
     lends_tokens: bool = True
 
 
--- a/packages/core/src/geraniumshelf_core/shares/transfers.py
+++ b/packages/core/src/geraniumshelf_core/shares/transfers.py
@@ -61,6 +61,8 @@
         pending_scope: Daemons that were asked last and have not replied.
         requested_at: Time at which they were asked.
         refuse_until: Time until which a wait is expected to yield no token.
+        refused_priority: Priority of the requests to which this applies, and
+            of less urgent ones.
         owner_pending: Tokens requested from the owner without a reply so far.
         owner_requested_at: Time of the last request to the owner.
         owner_retry_at: Time before which the owner has no more tokens.
@@ -72,6 +74,7 @@
     pending_scope: TokenScope = TokenScope.NOBODY
     requested_at: Nanoseconds = 0
     refuse_until: Nanoseconds = 0
+    refused_priority: int = 0
     owner_pending: int = 0
     owner_requested_at: Nanoseconds = 0
     owner_retry_at: Nanoseconds = 0
@@ -87,13 +90,16 @@
     return min(MAX_WAIT_NS, round(target * _WAIT_FRACTION))
 
 
-def should_refuse(waiting: WaitingRequests, now: Nanoseconds) -> bool:
+def should_refuse(
+    waiting: WaitingRequests, now: Nanoseconds, priority: int = 0
+) -> bool:
     """Return whether to refuse a request immediately.
 
     An account at its limit would otherwise always have a queue, and each of its
-    responses would be late by the wait.
+    responses would be late by the wait. A request that is more urgent than
+    those that got no token gets the next one, so it may wait.
     """
-    return now < waiting.refuse_until
+    return now < waiting.refuse_until and priority >= waiting.refused_priority
 
 
 def begin_token_request(
@@ -215,10 +221,15 @@
     waiting.owner_retry_at = now + min(wait, _REFUSAL_PERIOD_NS)
     if wait > max_wait:
         waiting.refuse_until = now + min(wait, _REFUSAL_PERIOD_NS)
+        waiting.refused_priority = 0
 
 
 def expire_wait(
-    waiting: WaitingRequests, now: Nanoseconds, *, has_owner: bool = False
+    waiting: WaitingRequests,
+    now: Nanoseconds,
+    priority: int = 0,
+    *,
+    has_owner: bool = False,
 ) -> None:
     """Record that a request got no token in time.
 
@@ -227,4 +238,7 @@
     """
     waiting.pending_scope = TokenScope.NOBODY
     if not has_owner:
+        if now >= waiting.refuse_until:
+            waiting.refused_priority = priority
+        waiting.refused_priority = min(waiting.refused_priority, priority)
         waiting.refuse_until = now + _REFUSAL_PERIOD_NS
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -127,9 +127,11 @@
             # one counts as not read and must not have reached a server.
             await caller.wait_for_earlier_responses()
         if not await self._tokens.acquire(
-            request.account_name, request.route.target_latency
+            request.account_name,
+            request.route.target_latency,
+            request.token_priority,
         ):
-            wait = self._tokens.time_to_token(request.account_name)
+            wait = self._tokens.state_retry(request.account_name)
             raise self._selector.make_rate_refusal(request, progress, wait)
         if self._state.table is not table:
             # The route or the key may have been removed during the wait.
--- a/packages/daemon/src/geraniumshelf_daemon/edge/routed_request.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/routed_request.py
@@ -51,6 +51,13 @@
         """Return the name of the client account, empty on open routes."""
         return self.account.name if self.account else ''
 
+    @property
+    def token_priority(self) -> int:
+        """Return the priority at which it gets a token, 0 is the highest."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
 
 def make_placement_request(
     request: RoutedRequest, excluded: frozenset[str]
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -84,14 +84,17 @@
             progress: Progress of the request; its inputs are set.
             wait: Time until the account has a token again.
         """
-        quotas = self._state.quotas
+        state = self._state
         progress.inputs = describe_share(
-            quotas, request.account_name, self._clock()
+            state.quotas, request.account_name, self._clock()
         )
+        if not state.quotas.policies.orders_tokens:
+            # All callers of the account are told the same time.
+            wait = round(wait * (1 + self._random.random()))
         return RequestRefused(
             ResultCode.RATE_EXCEEDED,
             f'{request.account_name} has exceeded its rate limit',
-            retry_after_s=_rounded_s(round(wait * (1 + self._random.random()))),
+            retry_after_s=_rounded_s(wait),
         )
 
     def select(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/tokens.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/tokens.py
@@ -8,13 +8,31 @@
 from attrs import define, field, frozen
 
 from geraniumshelf_core.shares.messages import TokenGrant
-from geraniumshelf_core.shares.owners import deposit_tokens
+from geraniumshelf_core.shares.owners import (
+    deposit_tokens,
+    record_token_demand,
+)
 from geraniumshelf_core.shares.quotas import (
     AccountQuotas,
     admit,
+    bucket_rate,
     take_token,
     time_to_admission,
 )
+from geraniumshelf_core.shares.retry_times import (
+    RetryTimes,
+    record_token,
+    state_retry,
+)
+from geraniumshelf_core.shares.token_order import (
+    TokenOrder,
+    TokenPlace,
+    join,
+    leave,
+    may_overtake,
+    next_place,
+    record_turn,
+)
 from geraniumshelf_core.shares.transfers import (
     MAX_WAIT_NS,
     OWNER_TIMEOUT_NS,
@@ -60,11 +78,27 @@
 
     Attributes:
         waiting: Number of requests and the tokens granted to them.
-        granted: Set when tokens from another daemon arrive.
+        wakers: Event of each waiting request, set when it should look for a
+            token again.
+        order: Order in which the requests get tokens.
+        retries: Times stated to refused requests.
     """
 
     waiting: WaitingRequests = field(factory=WaitingRequests)
-    granted: asyncio.Event = field(factory=asyncio.Event)
+    wakers: dict[TokenPlace, asyncio.Event] = field(factory=dict)
+    order: TokenOrder = field(factory=TokenOrder)
+    retries: RetryTimes = field(factory=RetryTimes)
+
+    def wake_next(self) -> None:
+        """Wake the request that gets the next token."""
+        place = next_place(self.order)
+        if place is not None:
+            self.wakers[place].set()
+
+    def wake_all(self) -> None:
+        """Wake all waiting requests."""
+        for waker in self.wakers.values():
+            waker.set()
 
 
 def _never_owned(_account: str) -> bool:
@@ -93,31 +127,44 @@
         self._quotas = quotas
         self._clock = clock
         self._request_tokens = request_tokens
+        self._is_ordered = quotas.policies.orders_tokens
         self._queues: dict[str, _Queue] = {}
 
-    async def acquire(self, account: str, target_latency: Nanoseconds) -> bool:
+    async def acquire(
+        self, account: str, target_latency: Nanoseconds, priority: int = 0
+    ) -> bool:
         """Acquire a token for a request, waiting for a short time if needed.
 
         Args:
             account: Client account.
             target_latency: Time within which the response is on time.
+            priority: Priority of the request, 0 is the highest.
 
         Returns:
             Whether the request got a token.
         """
         now = self._clock()
-        if admit(self._quotas, account, now):
-            return True
+        if not self._is_ordered:
+            priority = 0
         queue = self._queues.setdefault(account, _Queue())
+        if self._admit(account, queue, priority, now):
+            record_token(queue.retries, now)
+            return True
         waiting = queue.waiting
-        if should_refuse(waiting, now):
+        if should_refuse(waiting, now, priority):
             return False
-        max_wait = max_token_wait(target_latency)
+        deadline = now + max_token_wait(target_latency)
         waiting.count += 1
+        place = join(queue.order, priority)
+        queue.wakers[place] = asyncio.Event()
+        queue.wake_next()
         try:
-            return await self._wait(account, queue, now + max_wait)
+            return await self._wait(account, queue, place, deadline)
         finally:
             waiting.count -= 1
+            leave(queue.order, place)
+            del queue.wakers[place]
+            queue.wake_next()
 
     def receive_grant(self, grant: TokenGrant) -> None:
         """Give tokens that another daemon granted to waiting requests."""
@@ -129,40 +176,77 @@
         deposit_tokens(self._quotas, grant.account, surplus, now)
         if grant.wait:
             record_owner_wait(queue.waiting, grant.wait, MAX_WAIT_NS, now)
-        queue.granted.set()
+        if self._is_ordered and not should_refuse(queue.waiting, now):
+            queue.wake_next()
+        else:
+            queue.wake_all()
+
+    def state_retry(self, account: str) -> Nanoseconds:
+        """Return when a refused request should be sent again.
+
+        Each refusal of an account gets the time of another token.
+        """
+        now = self._clock()
+        queue = self._queues.setdefault(account, _Queue())
+        wait = time_to_admission(self._quotas, account)
+        if self._has_owner(account):
+            owner_wait = queue.waiting.owner_retry_at - now
+            wait = max(owner_wait, OWNER_TIMEOUT_NS)
+        if not self._is_ordered:
+            return wait
+        rate = bucket_rate(self._quotas, account)
+        return state_retry(queue.retries, wait, rate, now)
 
-    def time_to_token(self, account: str) -> Nanoseconds:
-        """Return the time until an account without tokens has one again."""
-        queue = self._queues.get(account)
-        if queue is None or not self._has_owner(account):
-            return time_to_admission(self._quotas, account)
-        owner_wait = queue.waiting.owner_retry_at - self._clock()
-        return max(owner_wait, OWNER_TIMEOUT_NS)
+    def _admit(
+        self, account: str, queue: _Queue, priority: int, now: Nanoseconds
+    ) -> bool:
+        if self._is_ordered and not may_overtake(queue.order, priority):
+            record_token_demand(self._quotas, account, 1)
+            return False
+        return admit(self._quotas, account, now)
 
     async def _wait(
-        self, account: str, queue: _Queue, deadline: Nanoseconds
+        self,
+        account: str,
+        queue: _Queue,
+        place: TokenPlace,
+        deadline: Nanoseconds,
     ) -> bool:
         waiting = queue.waiting
         while True:
             now = self._clock()
-            if waiting.granted:
-                waiting.granted -= 1
-                return True
-            if take_token(self._quotas, account, now):
+            if self._take_turn(account, queue, place, now):
+                record_turn(queue.order, place)
+                record_token(queue.retries, now)
                 return True
-            if should_refuse(waiting, now):
+            if should_refuse(waiting, now, place.priority):
                 return False
             if now >= deadline:
                 has_owner = self._has_owner(account)
-                expire_wait(waiting, now, has_owner=has_owner)
+                expire_wait(waiting, now, place.priority, has_owner=has_owner)
                 return False
             poll_interval = min(
                 deadline - now, self._request_from_others(account, waiting, now)
             )
-            queue.granted.clear()
+            waker = queue.wakers[place]
+            waker.clear()
             with suppress(TimeoutError):
                 async with asyncio.timeout(ns_to_seconds(poll_interval)):
-                    await queue.granted.wait()
+                    await waker.wait()
+
+    def _take_turn(
+        self,
+        account: str,
+        queue: _Queue,
+        place: TokenPlace,
+        now: Nanoseconds,
+    ) -> bool:
+        if self._is_ordered and next_place(queue.order) != place:
+            return False
+        if queue.waiting.granted:
+            queue.waiting.granted -= 1
+            return True
+        return take_token(self._quotas, account, now)
 
     def _request_from_others(
         self, account: str, waiting: WaitingRequests, now: Nanoseconds
--- a/tests/daemon/edge/test_tokens.py
+++ b/tests/daemon/edge/test_tokens.py
@@ -95,3 +95,40 @@
     tokens.receive_grant(TokenGrant(requested_at, 'shop', 1, 0))
     granted, _ = asyncio.run(_acquire(tokens))
     assert not granted
+
+
+def test_waiting_requests_get_tokens_by_priority() -> None:
+    """Guard against urgent requests that wait behind others of the account.
+
+    Three requests wait, and tokens of another daemon arrive one by one.
+    """
+    served: list[int] = []
+
+    async def request(tokens: AccountTokens, priority: int) -> None:
+        if await tokens.acquire('shop', 4 * MAX_WAIT_NS, priority):
+            served.append(priority)
+
+    async def scenario() -> None:
+        tokens = AccountTokens(
+            _quotas(0.1), boot_time, lambda _demand, _now: None
+        )
+        requests = [
+            asyncio.create_task(request(tokens, priority))
+            for priority in (2, 1, 0)
+        ]
+        for _ in requests:
+            await asyncio.sleep(0.02)
+            tokens.receive_grant(TokenGrant(boot_time(), 'shop', 1, 0))
+        async with asyncio.timeout(_TIMEOUT_S):
+            await asyncio.gather(*requests)
+
+    asyncio.run(scenario())
+    assert served == [0, 1, 2]
+
+
+def test_refused_requests_are_told_different_times() -> None:
+    """Guard against callers that return together and are refused again."""
+    tokens = AccountTokens(_quotas(2), boot_time, lambda _demand, _now: None)
+    asyncio.run(_acquire(tokens))
+    first, second = tokens.state_retry('shop'), tokens.state_retry('shop')
+    assert second - first > MAX_WAIT_NS
