Give every sixth token to the least urgent requests; describe the limits

Cause: with every fourth token, requests of priority 2, which may wait longer for their later target, were served more often than those of priority 1.

Change: every sixth token.

Callers gain that requests of higher priority are not served less often.

--- a/packages/core/src/geraniumshelf_core/shares/token_order.py
+++ b/packages/core/src/geraniumshelf_core/shares/token_order.py
@@ -5,9 +5,11 @@
 
 from attrs import define, field, frozen
 
-# While less urgent requests wait, every fourth token goes to the least urgent
-# ones. No kind of request may be served less than a quarter as often as all.
-_LEAST_URGENT_INTERVAL: Final = 4
+# While less urgent requests wait, every sixth token goes to the least urgent
+# ones. A kind of request that makes up two thirds of all is then served at least
+# a quarter as often as all. With every fourth token, requests of low priority,
+# which may wait for longer, were served more often than others.
+_LEAST_URGENT_INTERVAL: Final = 6
 
 
 @frozen(order=True)
