Answer a request for tokens only once

Cause: a repeated request took tokens a second time, for a grant that its sender does not accept.

Evidence: in virtual time, with every datagram repeated once, ten daemons handed out 423 of the 627 tokens that the limit of an account gives in 5 s.

The test with repeated grants now also demands nine tenths of the limit.

Callers gain that they get their whole limit on a network that repeats datagrams.

--- a/packages/core/src/geraniumshelf_core/shares/token_order.py
+++ b/packages/core/src/geraniumshelf_core/shares/token_order.py
@@ -6,9 +6,9 @@
 from attrs import define, field, frozen
 
 # While less urgent requests wait, every sixth token goes to the least urgent
-# ones. A kind of request that makes up two thirds of all is then served at least
-# a quarter as often as all. With every fourth token, requests of low priority,
-# which may wait for longer, were served more often than others.
+# ones. A kind of request that makes up two thirds of all is then served at
+# least a quarter as often as all. With every fourth token, requests of low
+# priority, which may wait for longer, were served more often than others.
 _LEAST_URGENT_INTERVAL: Final = 6
 
 
--- a/packages/core/src/geraniumshelf_core/shares/token_requests.py
+++ b/packages/core/src/geraniumshelf_core/shares/token_requests.py
@@ -1,16 +1,17 @@
-"""Requests for tokens that have not been granted yet.
+"""Requests for tokens, and grants for them, that may be repeated on the way.
 
 A datagram may be repeated on its way. A second copy of a grant would put the
 same tokens into use twice, so each request has its own time, by which it is
 recognized, and is granted once. A grant that an earlier run of this daemon
-requested is not recognized either.
+requested is not recognized either. A second copy of a request would take tokens
+that its sender does not accept, so it is ignored.
 """
 
 from typing import Final
 
 from attrs import define, field
 
-from geraniumshelf_core.shares.messages import TokenGrant
+from geraniumshelf_core.shares.messages import TokenGrant, TokenRequest
 from geraniumshelf_core.shares.transfers import MAX_WAIT_NS
 from geraniumshelf_core.units import Nanoseconds
 
@@ -53,3 +54,34 @@
         return False
     del pending.accounts[grant.requested_at]
     return True
+
+
+@define
+class AnsweredTokenRequests:
+    """Requests of other daemons that this daemon has answered lately.
+
+    Attributes:
+        answered: Time of the answer by sender, account and time of the
+            request, the oldest first.
+    """
+
+    answered: dict[tuple[str, str, Nanoseconds], Nanoseconds] = field(
+        factory=dict
+    )
+
+
+def begin_answer(
+    answers: AnsweredTokenRequests, request: TokenRequest, now: Nanoseconds
+) -> bool:
+    """Record a request; return whether it is not a copy of an answered one."""
+    while answers.answered:
+        oldest, answered_at = next(iter(answers.answered.items()))
+        is_full = len(answers.answered) >= _MAX_PENDING
+        if now - answered_at <= MAX_WAIT_NS and not is_full:
+            break
+        del answers.answered[oldest]
+    key = (request.name, request.account, request.requested_at)
+    if key in answers.answered:
+        return False
+    answers.answered[key] = now
+    return True
--- a/packages/daemon/src/geraniumshelf_daemon/edge/token_exchange.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/token_exchange.py
@@ -16,7 +16,9 @@
 )
 from geraniumshelf_core.shares.quotas import AccountQuotas, time_to_admission
 from geraniumshelf_core.shares.token_requests import (
+    AnsweredTokenRequests,
     PendingTokenRequests,
+    begin_answer,
     begin_pending,
     end_pending,
 )
@@ -67,6 +69,7 @@
         self._clock = clock
         self._random = random
         self._pending = PendingTokenRequests()
+        self._answers = AnsweredTokenRequests()
         port.register(TokenRequest, self._grant)
 
     async def run(self) -> None:
@@ -130,6 +133,8 @@
 
     def _grant(self, request: TokenRequest) -> None:
         now = self._clock()
+        if not begin_answer(self._answers, request, now):
+            return
         account, wanted = request.account, request.wanted
         is_owner = (
             self._owners.is_in_own_region(request.name)
--- a/tests/daemon/edge/test_account_limits.py
+++ b/tests/daemon/edge/test_account_limits.py
@@ -88,13 +88,16 @@
 
 
 def test_repeated_grants_do_not_add_tokens() -> None:
-    """A grant that arrives twice would put the same tokens into use twice."""
+    """A grant that arrives twice would put the same tokens into use twice.
+
+    A request that arrives twice must not take tokens that nobody accepts.
+    """
     fleet = AccountFleet(_LARGE, 6, 4)
     fleet.repeats = 1
     fleet.run(9 * SECOND_NS)
     fleet.close()
     used_rate = _LARGE.rate * 1.1
-    assert fleet.granted_in(4, 9) <= 5 * used_rate
+    assert 0.9 * used_rate <= fleet.granted_in(4, 9) / 5 <= used_rate
 
 
 def test_power_loss_does_not_give_the_burst_again() -> None:
