--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -39,6 +39,10 @@
             daemons report to each other, instead of by slots only.
         renews_lost_watches: Whether all watches of the store are renewed after
             one of them was lost.
+        orders_tokens: Whether waiting requests of an account get tokens by
+            priority, and refused ones are told different times.
+        lends_tokens: Whether the tokens of a lent share go to the daemon that
+            borrows it.
     """
 
     work_weight: float = 1
@@ -51,6 +55,8 @@
     counts_rejections: bool = True
     plans_by_demand: bool = True
     renews_lost_watches: bool = True
+    orders_tokens: bool = True
+    lends_tokens: bool = True
 
 
 DEFAULT_POLICIES: Final = Policies()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -16,7 +16,6 @@
     PresenceState,
     RegisteredInstance,
 )
-from geraniumshelf_core.shares.messages import TokenGrant
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
 from geraniumshelf_daemon.edge.demand_reports import DemandReports
@@ -105,7 +104,7 @@
             self._token_exchange.request_tokens,
             owners.has_other_owner,
         )
-        self._port.register(TokenGrant, self.tokens.receive_grant)
+        self._token_exchange.forward_grants(self.tokens.receive_grant)
         self._limit_owners = LimitOwners(
             state.placement,
             self.presence,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -12,6 +12,7 @@
 from geraniumshelf_core.placement.server_limits import LimitNotice
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
+    LoanTokens,
     ShareLoan,
     ShareRequest,
     TokenGrant,
@@ -36,6 +37,7 @@
     | PermitGrant
     | ServerReadings
     | DemandReport
+    | LoanTokens
 )
 
 # The index of a type in this tuple identifies it in datagrams. An index with
@@ -55,6 +57,7 @@
     ServerReadings,
     None,
     DemandReport,
+    LoanTokens,
 )
 _NUMBER: Final = (int, float)
 _FIELD_TYPES: Final = {
@@ -90,6 +93,7 @@
     PermitGrant: (str, int, str, int, int, int),
     ServerReadings: (str, list, list),
     DemandReport: (str, str, int, dict, dict),
+    LoanTokens: (str, int, int, dict),
 }
 
 
--- a/tests/daemon/edge/test_messages.py
+++ b/tests/daemon/edge/test_messages.py
@@ -13,6 +13,7 @@
 from geraniumshelf_core.placement.demand import DemandReport
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
+    LoanTokens,
     ShareLoan,
     ShareRequest,
     TokenGrant,
@@ -60,6 +61,7 @@
         TokenGrant(5, 'shop', 2, 9),
         ServerReadings('n1', ('s1', 's2'), (3, 1, 250, 12, 0, 0, 100, 40)),
         DemandReport('n1', 'a1', 5, {'shop': 7.5}, {'shop': -0.5}),
+        LoanTokens('n1', 5, 900, {'shop': 0.25}),
     ],
 )
 def test_message_comes_back(message: Message) -> None:
