--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -7,8 +7,8 @@
 from attrs import define, field, frozen
 
 from geraniumshelf_core.dispatch.state import Place
-from geraniumshelf_core.placement.rejection_rates import RejectionRate
 from geraniumshelf_core.placement.demand import DemandState
+from geraniumshelf_core.placement.rejection_rates import RejectionRate
 from geraniumshelf_core.placement.server_limits import ServerLimit
 from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
 from geraniumshelf_core.shares.permits import PermitStock
--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -204,18 +204,10 @@
             self._token_exchange.run,
             self.limits.run,
             self._readings.run,
+            self._demand_reports.run,
             registry.run,
         ]
         return tuple(workers)
-        workers = (
-            self.heartbeats,
-            self._share_exchange,
-            self._token_exchange,
-            self.limits,
-            self._demand_reports,
-            registry,
-        )
-        return tuple(worker.run for worker in workers)
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -40,9 +40,8 @@
     | LoanTokens
 )
 
-# The index of a type in this tuple identifies it in datagrams. An index with
-# ``None`` is not in use.
-_MESSAGE_TYPES: Final[tuple[type[Any] | None, ...]] = (
+# The index of a type in this tuple identifies it in datagrams.
+_MESSAGE_TYPES: Final = (
     PresenceHeartbeat,
     ShareRequest,
     ShareLoan,
@@ -55,7 +54,6 @@
     PermitRequest,
     PermitGrant,
     ServerReadings,
-    None,
     DemandReport,
     LoanTokens,
 )
@@ -113,15 +111,12 @@
         message_type = _MESSAGE_TYPES[type_index]
     except Exception:
         return None
-    if message_type is None:
-        return None
     field_types = _FIELD_TYPES[message_type]
     if version != _FORMAT_VERSION or len(fields) != len(field_types):
         return None
     if not all(map(isinstance, fields, field_types)):
         return None
-    message: Message = message_type(*map(_convert_field, fields))
-    return message
+    return message_type(*map(_convert_field, fields))
 
 
 def _encode_revision(encoder: cbor2.CBOREncoder, revision: Any) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -12,10 +12,8 @@
     Outcome,
     begin_request,
 )
-from geraniumshelf_core.placement.demand import count_request
 from geraniumshelf_core.placement.estimates import typical_work
 from geraniumshelf_core.placement.state import Candidate
-from geraniumshelf_core.shares.retries import earn_retries
 from geraniumshelf_core.site.model import Repeatability
 from geraniumshelf_core.units import (
     SECOND_NS,
@@ -49,7 +47,11 @@
     route_caller,
 )
 from geraniumshelf_daemon.edge.server_selection import ServerSelector
-from geraniumshelf_daemon.edge.state import EdgeState, RequestProgress
+from geraniumshelf_daemon.edge.state import (
+    EdgeState,
+    RequestProgress,
+    count_demand,
+)
 from geraniumshelf_daemon.edge.tokens import AccountTokens
 from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.observability.events import Event, log_event
@@ -138,8 +140,7 @@
             request = self._route(caller, fields, now)
             progress.request = request
         now = self._clock()
-        earn_retries(self._state.retries, request.service, now)
-        count_request(self._state.placement.demand, request.service)
+        count_demand(self._state, request.service, now)
         upload = Upload(caller.body, self._pacer, has_body=caller.has_body)
         time_left = max(0, request.deadline - now)
         try:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -4,10 +4,11 @@
 
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.errors import Ran
+from geraniumshelf_core.placement.demand import count_request
 from geraniumshelf_core.placement.state import PlacementState
 from geraniumshelf_core.presence.versions import VersionState
 from geraniumshelf_core.shares.quotas import AccountQuotas
-from geraniumshelf_core.shares.retries import RetryShares
+from geraniumshelf_core.shares.retries import RetryShares, earn_retries
 from geraniumshelf_core.shares.whole_shares import WholeShares
 from geraniumshelf_core.site.routing import RoutingTable
 from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
@@ -103,6 +104,12 @@
     retries.window_s = ns_to_seconds(bounds.retry_window)
 
 
+def count_demand(state: EdgeState, service: str, now: Nanoseconds) -> None:
+    """Count a request that needs a server, for the demand and for retries."""
+    count_request(state.placement.demand, service)
+    earn_retries(state.retries, service, now)
+
+
 @define(eq=False)
 class RequestProgress:
     """Progress of a request while it is served.
--- a/tests/daemon/edge/test_messages.py
+++ b/tests/daemon/edge/test_messages.py
@@ -6,11 +6,11 @@
 from hypothesis import strategies as st
 
 from geraniumshelf_core.history.eras import StoreRevision
+from geraniumshelf_core.placement.demand import DemandReport
 from geraniumshelf_core.placement.readings import (
     MAX_READINGS,
     ServerReadings,
 )
-from geraniumshelf_core.placement.demand import DemandReport
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
     LoanTokens,
