--- a/tests/daemon/edge/test_standby.py
+++ b/tests/daemon/edge/test_standby.py
@@ -30,7 +30,7 @@
     StoreAvailabilityTracker,
 )
 from geraniumshelf_daemon.edge.store_follower import StoreFollower
-from geraniumshelf_daemon.edge.watcher import WatchRules
+from geraniumshelf_daemon.edge.watch_rules import WatchRules
 from geraniumshelf_platform.records import decode_record
 
 _BOUND_S = 5
