--- a/packages/core/src/geraniumshelf_core/placement/cold_starts.py
+++ b/packages/core/src/geraniumshelf_core/placement/cold_starts.py
@@ -88,7 +88,7 @@
     so daemons of other regions send it none.
     """
     used = count_recent_sends(view, now) + view.reserved_sends
-    return used < _cold_share(state, view, now)
+    return used < cold_share(state, view, now)
 
 
 def is_send_allowed(
@@ -97,7 +97,7 @@
     """Return whether a request may be sent now, once a connection is open."""
     if may_get_full_rate(state, view, now):
         return True
-    return count_recent_sends(view, now) < _cold_share(state, view, now)
+    return count_recent_sends(view, now) < cold_share(state, view, now)
 
 
 @contextmanager
@@ -205,6 +205,17 @@
         view.checked_at = now
 
 
+def cold_share(
+    state: PlacementState, view: ServerView, now: Nanoseconds
+) -> int:
+    """Return this daemon's part of the limit of a cold server."""
+    is_settled = now - state.started_at > _SETTLING_NS
+    if view.region != state.place.region or not is_settled:
+        return 0
+    rate = state.cold_rate_per_share.get(view.server.service, 0)
+    return whole_units(rate, count_shares(state.whole_shares, now))
+
+
 def _is_check_due(
     state: PlacementState, view: ServerView, now: Nanoseconds
 ) -> bool:
@@ -212,7 +223,7 @@
         return False
     if now - view.check_started_at < _CHECK_INTERVAL_NS:
         return False
-    enough = _CHECK_FRACTION * _cold_share(state, view, now)
+    enough = _CHECK_FRACTION * cold_share(state, view, now)
     if count_recent_sends(view, now) < enough:
         return False
     return not may_get_full_rate(state, view, now + _CHECK_LEAD_NS)
@@ -225,14 +236,3 @@
     if unreachable_at is None:
         return False
     return now - unreachable_at <= _ENTRY_DELAY_NS
-
-
-def _cold_share(
-    state: PlacementState, view: ServerView, now: Nanoseconds
-) -> int:
-    """Return this daemon's part of the limit of a cold server."""
-    is_settled = now - state.started_at > _SETTLING_NS
-    if view.region != state.place.region or not is_settled:
-        return 0
-    rate = state.cold_rate_per_share.get(view.server.service, 0)
-    return whole_units(rate, count_shares(state.whole_shares, now))
--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -16,6 +16,12 @@
     typical_work,
 )
 from geraniumshelf_core.placement.notices import get_notice
+from geraniumshelf_core.placement.paces import PaceCause
+from geraniumshelf_core.placement.pacing import (
+    begin_cold_start,
+    start_pace,
+    update_pace,
+)
 from geraniumshelf_core.placement.queries import is_leaving, preferred_servers
 from geraniumshelf_core.placement.spills import plan_spills
 from geraniumshelf_core.placement.state import (
@@ -107,7 +113,7 @@
     view.region = region
     cold_for = max(server.cold_left, cold_time)
     if cold_for:
-        view.cold_until = max(view.cold_until, now + cold_for)
+        begin_cold_start(state, view, cold_for, now)
     rebuild_usable(state)
 
 
@@ -138,7 +144,7 @@
     state.evacuated = zones
     for view in state.servers.values():
         if view.server.zone in returned:
-            view.cold_until = max(view.cold_until, now + cold_time)
+            begin_cold_start(state, view, cold_time, now)
     rebuild_usable(state)
 
 
@@ -194,11 +200,15 @@
 ) -> bool:
     """Record the end of a request; return whether the server was ejected."""
     view.in_flight -= 1
+    is_bad = outcome.is_failure or outcome.is_shed
+    update_pace(
+        state, view, outcome.work, outcome.object_name, now, is_bad=is_bad
+    )
     if outcome.is_shed:
         view.full_until = now + _FULL_PAUSE_NS
     if outcome.work:
         _record_work(state, view, outcome, now)
-    sample = 1 if outcome.is_failure or outcome.is_shed else 0
+    sample = 1 if is_bad else 0
     view.failure_rate += _FAILURE_GAIN * (sample - view.failure_rate)
     view.failures = view.failures + 1 if outcome.is_failure else 0
     if outcome.is_unreachable:
@@ -207,14 +217,15 @@
         view.is_unreachable = True
         record_unreachable(state, view, now)
         view.ejected_until = now + _UNREACHABLE_NS
+        start_pace(state, view, PaceCause.EJECTED, now)
         return True
     if outcome.work:
         view.is_unreachable = False
-    is_bad = (
+    is_failing = (
         view.failures >= FAILURES_TO_EJECT
         or view.failure_rate > _EJECTION_FAILURE_RATE
     )
-    return is_bad and _eject(state, view, now)
+    return is_failing and _eject(state, view, now)
 
 
 def eject_if_silent(
@@ -287,6 +298,7 @@
     view.failures = 0
     view.failure_rate = 0
     view.ejected_until = now + EJECTION_NS
+    start_pace(state, view, PaceCause.EJECTED, now)
     return True
 
 
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -24,6 +24,7 @@
     usable_slots,
 )
 from geraniumshelf_core.placement.notices import is_paused
+from geraniumshelf_core.placement.pacing import find_home, has_room
 from geraniumshelf_core.placement.state import (
     Candidate,
     PlacementRequest,
@@ -168,22 +169,26 @@
     """Return the candidate with the lowest cost in a region.
 
     The first eligible server of the ranking is the home of the object, where
-    the object is expected to be warm.
+    the object is expected to be warm. A paced server without room is passed
+    over unless all are, so that the pace refuses no request and moves none to
+    another region.
     """
     best: Candidate | None = None
     min_cost: tuple[bool, float] = (True, inf)
     typical = typical_work(state, request.service)
-    has_home = False
-    for name in _ranking(state, request, region):
-        view = state.servers[name]
-        if name in request.excluded or not _is_eligible(state, view, now):
-            continue
-        is_warm = not has_home or request.object_name in view.warm_objects
+    eligible = [
+        view
+        for name in _ranking(state, request, region)
+        if name not in request.excluded
+        and _is_eligible(state, view := state.servers[name], now)
+    ]
+    home = find_home(eligible, request.object_name, now)
+    for view in [view for view in eligible if has_room(view, now)] or eligible:
+        is_warm = view is home or request.object_name in view.warm_objects
         candidate = make_candidate(state, view, typical, is_warm, now)
         cost = _cost(state, candidate, now)
         if cost < min_cost:
             best, min_cost = candidate, cost
-        has_home = True
     return best
 
 
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from geraniumshelf_core.dispatch.state import Place
+from geraniumshelf_core.placement.paces import Pace
 from geraniumshelf_core.placement.server_limits import ServerLimit
 from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
 from geraniumshelf_core.shares.permits import PermitStock
@@ -79,6 +80,8 @@
             recently used first (an ordered set).
         idle_time: Keep-alive timeout that it announced, ``None`` if it
             announced none.
+        pace: Limits on the requests to it after its start or recovery, ``None``
+            if it is not paced.
     """
 
     server: ListedServer
@@ -104,6 +107,7 @@
     reserved_sends: int = 0
     warm_objects: dict[str, None] = field(factory=dict)
     idle_time: Nanoseconds | None = None
+    pace: Pace | None = None
 
 
 @define
@@ -162,6 +166,7 @@
         typical_work_times: Average work by service.
         speeds_known_at: Last time at which a server reported its speed, by
             service.
+        region_entries: Daemons of the own region that take callers.
         has_placed_requests: Whether requests have been placed; from then on
             objects change region only in bounded steps.
         started_at: Time at which this daemon started.
@@ -186,6 +191,7 @@
     rankings: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
     speeds_known_at: dict[str, Nanoseconds] = field(factory=dict)
+    region_entries: int = 1
     has_placed_requests: bool = False
     started_at: Nanoseconds = LONG_AGO
     list_confirmed_at: Nanoseconds = LONG_AGO
--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -32,6 +32,8 @@
             that they name.
         shares_readings: Whether the speeds that servers report count, and
             daemons exchange readings of servers.
+        paces_servers: Whether a server that has just started or recovered gets
+            requests at a pace that its responses determine.
     """
 
     work_weight: float = 1
@@ -41,6 +43,7 @@
     late_part: float = 0.3
     keeps_server_limits: bool = True
     shares_readings: bool = True
+    paces_servers: bool = True
 
 
 DEFAULT_POLICIES: Final = Policies()
