--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -8,6 +8,7 @@
 
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.placement.paces import Pace
+from geraniumshelf_core.placement.rejection_rates import RejectionRate
 from geraniumshelf_core.placement.server_limits import ServerLimit
 from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
 from geraniumshelf_core.shares.permits import PermitStock
@@ -82,6 +83,8 @@
             announced none.
         pace: Limits on the requests to it after its start or recovery, ``None``
             if it is not paced.
+        rejections: Rate at which it rejects requests without being full.
+        longest_queue: Most requests that it has reported as waiting.
     """
 
     server: ListedServer
@@ -108,6 +111,8 @@
     warm_objects: dict[str, None] = field(factory=dict)
     idle_time: Nanoseconds | None = None
     pace: Pace | None = None
+    rejections: RejectionRate = field(factory=RejectionRate)
+    longest_queue: int = 0
 
 
 @define
@@ -167,6 +172,7 @@
         speeds_known_at: Last time at which a server reported its speed, by
             service.
         region_entries: Daemons of the own region that take callers.
+        rejections: Rate of rejections without being full, by service.
         has_placed_requests: Whether requests have been placed; from then on
             objects change region only in bounded steps.
         started_at: Time at which this daemon started.
@@ -192,6 +198,7 @@
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
     speeds_known_at: dict[str, Nanoseconds] = field(factory=dict)
     region_entries: int = 1
+    rejections: dict[str, RejectionRate] = field(factory=dict)
     has_placed_requests: bool = False
     started_at: Nanoseconds = LONG_AGO
     list_confirmed_at: Nanoseconds = LONG_AGO
--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -34,6 +34,9 @@
             daemons exchange readings of servers.
         paces_servers: Whether a server that has just started or recovered gets
             requests at a pace that its responses determine.
+        counts_rejections: Whether a server that rejects requests without being
+            full is judged by the rate of its rejections. Otherwise it counts as
+            full and failing.
     """
 
     work_weight: float = 1
@@ -44,6 +47,7 @@
     keeps_server_limits: bool = True
     shares_readings: bool = True
     paces_servers: bool = True
+    counts_rejections: bool = True
 
 
 DEFAULT_POLICIES: Final = Policies()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -11,10 +11,8 @@
 )
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_core.placement.cold_starts import is_send_allowed
-from geraniumshelf_core.placement.commands import (
-    eject_if_silent,
-    record_need,
-)
+from geraniumshelf_core.placement.commands import record_need
+from geraniumshelf_core.placement.ejections import eject_if_silent
 from geraniumshelf_core.placement.estimates import typical_work
 from geraniumshelf_core.placement.limited_servers import use_permit
 from geraniumshelf_core.placement.queries import (
@@ -38,6 +36,7 @@
     ns_to_seconds,
 )
 from geraniumshelf_daemon.edge.grace import fits_in_grace, make_stop_refusal
+from geraniumshelf_daemon.edge.rejections import rejection_delay_s
 from geraniumshelf_daemon.edge.routed_request import (
     RoutedRequest,
     make_placement_request,
@@ -138,7 +137,8 @@
                     else ResultCode.NO_BACKEND_SERVER,
                     f'no server of {request.service} can respond in time',
                     ran=progress.ran,
-                    retry_after_s=_rounded_s(retry_after),
+                    retry_after_s=rejection_delay_s(progress, self._random)
+                    or _rounded_s(retry_after),
                 )
 
     def confirm(
