Let the home of an object exceed its pace while no other slot is free

Cause: a pace that simply excluded a server without room sent its objects to other servers, where they are cold and need three times the work. Where many servers are paced at once, this overloaded the service.

Change: a server without room stays the home of its objects, so that no other server is taken for warm. While no server with room has a free slot, the home takes its own objects up to its slots. If no server has room, the pace restricts none. The rate does not apply to an idle server, and it grows only as far as it is used. The mean rate that ends a pace counts paced servers, too. Servers that a health check finds cold are paced.

--- a/packages/core/src/geraniumshelf_core/placement/pacing.py
+++ b/packages/core/src/geraniumshelf_core/placement/pacing.py
@@ -17,7 +17,11 @@
     count_recent_sends,
     is_cold,
 )
-from geraniumshelf_core.placement.estimates import slowness, typical_work
+from geraniumshelf_core.placement.estimates import (
+    estimated_load,
+    slowness,
+    typical_work,
+)
 from geraniumshelf_core.placement.paces import Pace, PaceCause
 from geraniumshelf_core.placement.state import PlacementState, ServerView
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
@@ -32,6 +36,9 @@
 _DECREASE_INTERVAL_NS: Final[Nanoseconds] = (
     _DECREASE_INTERVAL_MS * MILLISECOND_NS
 )
+# Time after a decrease for which the rate applies to an idle server, too. It
+# restrains a server that fails quickly.
+_CAUTION_NS: Final[Nanoseconds] = SECOND_NS
 _MIN_IN_FLIGHT: Final = 1
 _MIN_RATE: Final = 1
 # Growth of the rate for each response in time. A server that could take twenty
@@ -43,7 +50,7 @@
 # The rate may grow up to this multiple of the current rate of requests, because
 # responses say nothing about a rate that was not used.
 _MAX_UNUSED_RATE: Final = 2
-# The pace ends at this multiple of the mean rate of the other servers.
+# The pace ends at this multiple of the mean rate of the servers.
 _FINAL_RATE: Final = 2
 # A pace that has not been reduced for this time ends, because a server that
 # few requests need cannot prove more.
@@ -125,34 +132,49 @@
 
 
 def has_room(view: ServerView, now: Nanoseconds) -> bool:
-    """Return whether the pace of a server allows another request."""
+    """Return whether the pace of a server allows another request.
+
+    The rate does not apply to an idle server unless it was overloaded or failed
+    lately.
+    """
     pace = view.pace
     if pace is None or not is_paced(view, now):
         return True
     if view.in_flight + 1 > pace.in_flight:
         return False
+    was_bad = pace.is_reduced and now - pace.changed_at < _CAUTION_NS
+    if estimated_load(view, now) < 1 and not was_bad:
+        return True
     sends = count_recent_sends(view, now) + view.reserved_sends
     return sends + 1 <= pace.rate
 
 
-def find_home(
-    views: Sequence[ServerView], object_name: str, now: Nanoseconds
-) -> ServerView | None:
-    """Return the server where an object is expected to be warm.
+def open_servers(
+    views: Sequence[ServerView], now: Nanoseconds
+) -> Sequence[ServerView]:
+    """Return the servers that a request may go to by their pace.
 
-    A server that has just started becomes the home of objects that are still
-    warm on the next server of their ranking. While its pace allows no request
-    and it has not handled the object, the next server remains the home.
+    While no other server has a free slot, the home of the object may exceed its
+    pace up to its slots. Elsewhere, the request would wait, too, and then take
+    a slot for the time of cold work. If no server has room, the pace restricts
+    none of them, because it must not refuse requests or move them to another
+    region.
 
     Args:
-        views: Servers in the order of the ranking of the object.
-        object_name: Name of the object.
+        views: Eligible servers of a region, the home of the object first.
         now: Current time.
     """
-    for view in views:
-        if object_name in view.warm_objects or has_room(view, now):
-            return view
-    return views[0] if views else None
+    with_room = [view for view in views if has_room(view, now)]
+    if len(with_room) == len(views):
+        return views
+    home = views[0]
+    if home in with_room or home.in_flight >= home.server.slots:
+        return with_room or views
+    has_free_slot = any(
+        view.full_until <= now and estimated_load(view, now) < view.server.slots
+        for view in with_room
+    )
+    return with_room if has_free_slot else [home, *with_room]
 
 
 def _expected_work(
@@ -195,16 +217,11 @@
 def _mean_rate(
     state: PlacementState, view: ServerView, now: Nanoseconds
 ) -> float:
-    """Return the mean rate of requests to comparable servers.
+    """Return the mean rate of requests to the servers of a service and region.
 
-    These are the other servers of the same service and region that are not
-    paced.
+    Paced servers count, because the others get the requests that these cannot
+    take yet.
     """
     names = state.usable.get((view.server.service, view.region), ())
-    others = [
-        other
-        for name in names
-        if not is_paced(other := state.servers[name], now)
-    ]
-    sends = sum(count_recent_sends(other, now) for other in others)
-    return sends / len(others) if others else 0
+    sends = sum(count_recent_sends(state.servers[name], now) for name in names)
+    return sends / max(1, len(names))
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -24,7 +24,7 @@
     usable_slots,
 )
 from geraniumshelf_core.placement.notices import is_paused
-from geraniumshelf_core.placement.pacing import find_home, has_room
+from geraniumshelf_core.placement.pacing import open_servers
 from geraniumshelf_core.placement.rejections import relative_attempts
 from geraniumshelf_core.placement.state import (
     Candidate,
@@ -170,9 +170,8 @@
     """Return the candidate with the lowest cost in a region.
 
     The first eligible server of the ranking is the home of the object, where
-    the object is expected to be warm. A paced server without room is passed
-    over unless all are, so that the pace refuses no request and moves none to
-    another region.
+    the object is expected to be warm. It remains the home while its pace allows
+    no request, so that no other server is taken for warm instead.
     """
     best: Candidate | None = None
     min_cost: tuple[bool, float] = (True, inf)
@@ -183,9 +182,9 @@
         if name not in request.excluded
         and _is_eligible(state, view := state.servers[name], now)
     ]
-    home = find_home(eligible, request.object_name, now)
-    for view in [view for view in eligible if has_room(view, now)] or eligible:
-        is_warm = view is home or request.object_name in view.warm_objects
+    for view in open_servers(eligible, now):
+        is_home = view is eligible[0]
+        is_warm = is_home or request.object_name in view.warm_objects
         candidate = make_candidate(state, view, typical, is_warm, now)
         cost = _cost(state, candidate, now)
         if cost < min_cost:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -27,6 +27,7 @@
 from geraniumshelf_daemon.edge.limit_owners import LimitOwners
 from geraniumshelf_daemon.edge.notices import ServerNotices
 from geraniumshelf_daemon.edge.owners import OwnerView
+from geraniumshelf_daemon.edge.pacing import PaceMonitor
 from geraniumshelf_daemon.edge.permits import ServerPermits
 from geraniumshelf_daemon.edge.readings import ReadingExchange
 from geraniumshelf_daemon.edge.registry import Registry
@@ -143,6 +144,7 @@
             clock,
             random,
         )
+        self._paces = PaceMonitor(state.placement, self.presence, clock)
 
     def handle_response(
         self, view: ServerView, fields: ResponseFields, sent_at: Nanoseconds
@@ -196,6 +198,7 @@
             self._token_exchange.run,
             self.limits.run,
             self._readings.run,
+            self._paces.run,
             registry.run,
         ]
         return tuple(workers)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/health_checks.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/health_checks.py
@@ -10,6 +10,7 @@
     choose_checks,
     record_health,
 )
+from geraniumshelf_core.placement.pacing import begin_cold_start
 from geraniumshelf_core.placement.state import ServerView
 from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
 from geraniumshelf_daemon.edge.connections import CONNECT_TIMEOUT_NS
@@ -88,14 +89,16 @@
         if fields.server_name != view.server.name:
             return
         self._limits.record(view, fields.limit, began_at, is_run=False)
-        if fields.cold_left or status == _OK:
-            record_health(view, fields.cold_left, self._clock())
+        now = self._clock()
         if fields.cold_left:
+            begin_cold_start(self._state.placement, view, fields.cold_left, now)
             log_event(
                 Event.BACKEND_COLD,
                 view.server.name,
                 cold_for_ms=fields.cold_left // MILLISECOND_NS,
             )
+        elif status == _OK:
+            record_health(view, 0, now)
 
     def _log_failure(self, name: str, error: OSError) -> None:
         if name not in self._failing:
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -36,6 +36,7 @@
     LIMITED_SERVERS = 'limited_servers'
     PERMITS_REQUESTED = 'permits_requested'
     PERMITS_GRANTED = 'permits_granted'
+    PACED_SERVERS = 'paced_servers'
     READINGS_SENT = 'readings_sent'
     READINGS_RECEIVED = 'readings_received'
     CONNECTIONS_SILENT = 'connections_silent'
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -16,13 +16,13 @@
 from geraniumshelf_core.placement.commands import (
     Outcome,
     begin_request,
-    eject_if_silent,
     end_request,
     put_server,
     record_report,
     remove_server,
     set_evacuated,
 )
+from geraniumshelf_core.placement.ejections import eject_if_silent
 from geraniumshelf_core.placement.queries import choose_server
 from geraniumshelf_core.placement.state import (
     PlacementRequest,
