--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from geraniumshelf_core.dispatch.state import Place
+from geraniumshelf_core.placement.demand import DemandState
 from geraniumshelf_core.placement.paces import Pace
 from geraniumshelf_core.placement.rejection_rates import RejectionRate
 from geraniumshelf_core.placement.server_limits import ServerLimit
@@ -122,10 +123,12 @@
     Attributes:
         warm: For objects that the server has handled before, nanoseconds.
         cold: For other objects, nanoseconds.
+        cold_fraction: Fraction of the requests that are for other objects.
     """
 
     warm: float
     cold: float
+    cold_fraction: float = 0
 
 
 @define
@@ -138,11 +141,24 @@
             lacks, compared with the average of all regions.
         spare_slots: Slots of each region above the average of all regions, at
             least a small positive number.
+        weights: Weights by which the other regions share the spilled objects.
+        planned_fraction: Fraction that the plan in force aims at.
+        is_by_demand: Whether the plan in force follows the demand.
+        is_by_slots: Whether the weights are those of the plan by slots.
+        slots: Slots of the usable servers by region.
+        load: Smoothed load per slot of all regions by their demand, ``None``
+            before it is known.
     """
 
     fraction: float = 0
     base_fraction: float = 0
     spare_slots: dict[str, float] = field(factory=dict)
+    weights: dict[str, float] = field(factory=dict)
+    planned_fraction: float = 0
+    is_by_demand: bool = False
+    is_by_slots: bool = True
+    slots: dict[str, float] = field(factory=dict)
+    load: float | None = None
 
 
 @define
@@ -167,6 +183,7 @@
         usable: Names of the servers that may get work, by service and region.
         evacuated: Zones that get no new work.
         spills: Spill state by service.
+        demand: Demand of the callers of each region.
         rankings: Cached order of servers by service, region and object.
         typical_work_times: Average work by service.
         speeds_known_at: Last time at which a server reported its speed, by
@@ -194,6 +211,7 @@
     usable: dict[tuple[str, str], tuple[str, ...]] = field(factory=dict)
     evacuated: frozenset[str] = frozenset()
     spills: dict[str, SpillState] = field(factory=dict)
+    demand: DemandState = field(factory=DemandState)
     rankings: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
     speeds_known_at: dict[str, Nanoseconds] = field(factory=dict)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/fleet.py
@@ -16,9 +16,9 @@
     PresenceState,
     RegisteredInstance,
 )
-from geraniumshelf_core.shares.messages import TokenGrant
 from geraniumshelf_core.units import Nanoseconds
 from geraniumshelf_daemon.edge.datagrams import DatagramPort
+from geraniumshelf_daemon.edge.demand_reports import DemandReports
 from geraniumshelf_daemon.edge.heartbeats import Heartbeats
 from geraniumshelf_daemon.edge.interface import (
     PlatformStore,
@@ -105,7 +105,7 @@
             self._token_exchange.request_tokens,
             owners.has_other_owner,
         )
-        self._port.register(TokenGrant, self.tokens.receive_grant)
+        self._token_exchange.forward_grants(self.tokens.receive_grant)
         self._limit_owners = LimitOwners(
             state.placement,
             self.presence,
@@ -129,6 +129,14 @@
             self.own_heartbeat,
             clock,
         )
+        self._demand_reports = DemandReports(
+            state.placement,
+            self.presence,
+            self._port,
+            self.own_heartbeat,
+            clock,
+            random,
+        )
         self.notices = ServerNotices(
             state.placement,
             self.presence,
@@ -199,6 +207,7 @@
             self.limits.run,
             self._readings.run,
             self._paces.run,
+            self._demand_reports.run,
             registry.run,
         ]
         return tuple(workers)
--- a/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/messages.py
@@ -6,11 +6,13 @@
 from attrs import astuple
 
 from geraniumshelf_core.history.eras import StoreRevision
+from geraniumshelf_core.placement.demand import DemandReport
 from geraniumshelf_core.placement.notices import DepartureNotice
 from geraniumshelf_core.placement.readings import ServerReadings
 from geraniumshelf_core.placement.server_limits import LimitNotice
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
+    LoanTokens,
     ShareLoan,
     ShareRequest,
     TokenGrant,
@@ -34,6 +36,8 @@
     | PermitRequest
     | PermitGrant
     | ServerReadings
+    | DemandReport
+    | LoanTokens
 )
 
 # The index of a type in this tuple identifies it in datagrams.
@@ -50,6 +54,8 @@
     PermitRequest,
     PermitGrant,
     ServerReadings,
+    DemandReport,
+    LoanTokens,
 )
 _NUMBER: Final = (int, float)
 _FIELD_TYPES: Final = {
@@ -84,6 +90,8 @@
     PermitRequest: (str, int, str, int, _NUMBER, int, int),
     PermitGrant: (str, int, str, int, int, int),
     ServerReadings: (str, list, list),
+    DemandReport: (str, str, int, dict, dict),
+    LoanTokens: (str, int, int, dict),
 }
 
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -13,9 +13,7 @@
     begin_request,
 )
 from geraniumshelf_core.placement.estimates import typical_work
-from geraniumshelf_core.placement.speeds import usual_work
 from geraniumshelf_core.placement.state import Candidate
-from geraniumshelf_core.shares.retries import earn_retries
 from geraniumshelf_core.site.model import Repeatability
 from geraniumshelf_core.units import (
     SECOND_NS,
@@ -33,11 +31,11 @@
 from geraniumshelf_daemon.edge.loading import LoadingGate
 from geraniumshelf_daemon.edge.outcomes import (
     count_refusal,
-    count_run,
     failure_outcome,
     log_progress,
     log_refusal,
     make_internal_fault,
+    measure_run,
     retry_delay_s,
     run_outcome,
 )
@@ -49,7 +47,11 @@
     route_caller,
 )
 from geraniumshelf_daemon.edge.server_selection import ServerSelector
-from geraniumshelf_daemon.edge.state import EdgeState, RequestProgress
+from geraniumshelf_daemon.edge.state import (
+    EdgeState,
+    RequestProgress,
+    count_demand,
+)
 from geraniumshelf_daemon.edge.tokens import AccountTokens
 from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.observability.events import Event, log_event
@@ -127,16 +129,18 @@
             # one counts as not read and must not have reached a server.
             await caller.wait_for_earlier_responses()
         if not await self._tokens.acquire(
-            request.account_name, request.route.target_latency
+            request.account_name,
+            request.route.target_latency,
+            request.token_priority,
         ):
-            wait = self._tokens.time_to_token(request.account_name)
+            wait = self._tokens.state_retry(request.account_name)
             raise self._selector.make_rate_refusal(request, progress, wait)
         if self._state.table is not table:
             # The route or the key may have been removed during the wait.
             request = self._route(caller, fields, now)
             progress.request = request
         now = self._clock()
-        earn_retries(self._state.retries, request.service, now)
+        count_demand(self._state, request.service, now)
         upload = Upload(caller.body, self._pacer, has_body=caller.has_body)
         time_left = max(0, request.deadline - now)
         try:
@@ -239,8 +243,8 @@
             caller, self._selector.cap_wait(request, choice, sent_at, progress)
         )
         now = self._clock()
-        work = usual_work(choice, now - sent_at - choice.network_delay, now)
-        count_run(typical_work(self._state.placement, request.service), work)
+        typical = typical_work(self._state.placement, request.service)
+        work = measure_run(typical, choice, now - sent_at, now)
         return response, run_outcome(response.status, work, request.object_name)
 
     def _check_retry(
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -24,6 +24,8 @@
     # Allowances.
     TOKENS_REQUESTED = 'tokens_requested'
     LOANS_OUT = 'loans_out'
+    LOAN_TOKENS_ACCEPTED = 'loan_tokens_accepted'
+    GRANTS_DROPPED = 'grants_dropped'
 
     # Backend servers.
     BACKENDS_EJECTED = 'backends_ejected'
@@ -39,6 +41,7 @@
     PACED_SERVERS = 'paced_servers'
     READINGS_SENT = 'readings_sent'
     READINGS_RECEIVED = 'readings_received'
+    DEMAND_REPORTS_RECEIVED = 'demand_reports_received'
     CONNECTIONS_SILENT = 'connections_silent'
     UPSTREAM_CONNECTIONS = 'upstream_connections'
 
@@ -46,6 +49,7 @@
     PEERS_CONNECTED = 'peers_connected'
     PLATFORM_CALLS = 'platform_calls'
     PLATFORM_FAILURES = 'platform_failures'
+    WATCHES_RENEWED = 'watches_renewed'
     CONFIGURATION_REVISION = 'configuration_revision'
     CONFIGURATION_NEWEST = 'configuration_newest'
     CONFIGURATION_BEHIND = 'configuration_behind_seconds'
--- a/tests/daemon/edge/test_messages.py
+++ b/tests/daemon/edge/test_messages.py
@@ -6,12 +6,14 @@
 from hypothesis import strategies as st
 
 from geraniumshelf_core.history.eras import StoreRevision
+from geraniumshelf_core.placement.demand import DemandReport
 from geraniumshelf_core.placement.readings import (
     MAX_READINGS,
     ServerReadings,
 )
 from geraniumshelf_core.presence.state import PresenceHeartbeat
 from geraniumshelf_core.shares.messages import (
+    LoanTokens,
     ShareLoan,
     ShareRequest,
     TokenGrant,
@@ -58,6 +60,8 @@
         TokenRequest('n1', 5, 'shop', 3),
         TokenGrant(5, 'shop', 2, 9),
         ServerReadings('n1', ('s1', 's2'), (3, 1, 250, 12, 0, 0, 100, 40)),
+        DemandReport('n1', 'a1', 5, {'shop': 7.5}, {'shop': -0.5}),
+        LoanTokens('n1', 5, 900, {'shop': 0.25}),
     ],
 )
 def test_message_comes_back(message: Message) -> None:
@@ -81,7 +85,7 @@
 
 @given(
     version=st.integers(0, 4),
-    kind=st.integers(-8, 9),
+    kind=st.integers(-8, 13),
     fields=st.lists(
         st.one_of(st.text(), st.integers(), st.booleans(), st.none()),
         max_size=12,
