--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -7,19 +7,16 @@
 from geraniumshelf_core.placement.cold_starts import (
     get_send_times,
     needs_checks,
-    record_unreachable,
 )
-from geraniumshelf_core.placement.ejections import eject
+from geraniumshelf_core.placement.ejections import eject, eject_unreachable
 from geraniumshelf_core.placement.estimates import (
     estimated_load,
     looks_warm,
     typical_work,
 )
 from geraniumshelf_core.placement.notices import get_notice
-from geraniumshelf_core.placement.paces import PaceCause
 from geraniumshelf_core.placement.pacing import (
     begin_cold_start,
-    start_pace,
     update_pace,
 )
 from geraniumshelf_core.placement.queries import is_leaving, preferred_servers
@@ -35,7 +32,7 @@
     TypicalWork,
 )
 from geraniumshelf_core.site.model import ListedServer
-from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 
 # Weight of a new sample in the moving averages.
 _SLOWNESS_GAIN: Final = 0.2
@@ -55,8 +52,6 @@
 _FAILURE_GAIN: Final = 0.15
 _EJECTION_FAILURE_RATE: Final = 0.4
 FAILURES_TO_EJECT: Final = 3
-# Time after which one request tries a server that accepted no connection.
-_UNREACHABLE_NS: Final[Nanoseconds] = SECOND_NS
 # A server that shed a request counts as full for this time, in which it can
 # start one of its queued requests.
 _FULL_PAUSE_MS: Final = 50
@@ -218,12 +213,7 @@
     view.failure_rate += _FAILURE_GAIN * (sample - view.failure_rate)
     view.failures = view.failures + 1 if outcome.is_failure else 0
     if outcome.is_unreachable:
-        # The server certainly does not respond, so unlike an ejection this is
-        # not limited to a fraction of the servers.
-        view.is_unreachable = True
-        record_unreachable(state, view, now)
-        view.ejected_until = now + _UNREACHABLE_NS
-        start_pace(state, view, PaceCause.EJECTED, now)
+        eject_unreachable(state, view, now)
         return True
     if outcome.work:
         view.is_unreachable = False
--- a/packages/core/src/geraniumshelf_core/placement/ejections.py
+++ b/packages/core/src/geraniumshelf_core/placement/ejections.py
@@ -2,12 +2,15 @@
 
 from typing import Final
 
+from geraniumshelf_core.placement.cold_starts import record_unreachable
 from geraniumshelf_core.placement.paces import PaceCause
 from geraniumshelf_core.placement.pacing import start_pace
 from geraniumshelf_core.placement.state import PlacementState, ServerView
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds
 
 EJECTION_NS: Final[Nanoseconds] = 3 * SECOND_NS
+# Time after which one request tries a server that accepted no connection.
+_UNREACHABLE_NS: Final[Nanoseconds] = SECOND_NS
 # At most one in this many servers of a service and region is ejected at once.
 _EJECTION_DIVISOR: Final = 3
 
@@ -25,6 +28,20 @@
     return True
 
 
+def eject_unreachable(
+    state: PlacementState, view: ServerView, now: Nanoseconds
+) -> None:
+    """Eject a server that accepted no connection.
+
+    It certainly does not respond, so unlike other ejections this is not limited
+    to a fraction of the servers.
+    """
+    view.is_unreachable = True
+    record_unreachable(state, view, now)
+    view.ejected_until = now + _UNREACHABLE_NS
+    start_pace(state, view, PaceCause.EJECTED, now)
+
+
 def eject_if_silent(
     state: PlacementState,
     view: ServerView,
