--- a/packages/core/src/geraniumshelf_core/placement/commands.py
+++ b/packages/core/src/geraniumshelf_core/placement/commands.py
@@ -7,15 +7,18 @@
 from geraniumshelf_core.placement.cold_starts import (
     get_send_times,
     needs_checks,
-    record_unreachable,
 )
-from geraniumshelf_core.placement.ejections import eject
+from geraniumshelf_core.placement.ejections import eject, eject_unreachable
 from geraniumshelf_core.placement.estimates import (
     estimated_load,
     looks_warm,
     typical_work,
 )
 from geraniumshelf_core.placement.notices import get_notice
+from geraniumshelf_core.placement.pacing import (
+    begin_cold_start,
+    update_pace,
+)
 from geraniumshelf_core.placement.queries import is_leaving, preferred_servers
 from geraniumshelf_core.placement.rejections import (
     is_outlier,
@@ -29,7 +32,7 @@
     TypicalWork,
 )
 from geraniumshelf_core.site.model import ListedServer
-from geraniumshelf_core.units import MILLISECOND_NS, SECOND_NS, Nanoseconds
+from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 
 # Weight of a new sample in the moving averages.
 _SLOWNESS_GAIN: Final = 0.2
@@ -49,8 +52,6 @@
 _FAILURE_GAIN: Final = 0.15
 _EJECTION_FAILURE_RATE: Final = 0.4
 FAILURES_TO_EJECT: Final = 3
-# Time after which one request tries a server that accepted no connection.
-_UNREACHABLE_NS: Final[Nanoseconds] = SECOND_NS
 # A server that shed a request counts as full for this time, in which it can
 # start one of its queued requests.
 _FULL_PAUSE_MS: Final = 50
@@ -110,7 +111,7 @@
     view.region = region
     cold_for = max(server.cold_left, cold_time)
     if cold_for:
-        view.cold_until = max(view.cold_until, now + cold_for)
+        begin_cold_start(state, view, cold_for, now)
     rebuild_usable(state)
 
 
@@ -141,7 +142,7 @@
     state.evacuated = zones
     for view in state.servers.values():
         if view.server.zone in returned:
-            view.cold_until = max(view.cold_until, now + cold_time)
+            begin_cold_start(state, view, cold_time, now)
     rebuild_usable(state)
 
 
@@ -199,39 +200,28 @@
     view.in_flight -= 1
     if outcome.is_partial:
         return _end_rejected(state, view, now)
+    is_bad = outcome.is_failure or outcome.is_shed
+    update_pace(
+        state, view, outcome.work, outcome.object_name, now, is_bad=is_bad
+    )
     if outcome.is_shed:
         view.full_until = now + _FULL_PAUSE_NS
     if outcome.work:
         record_attempt(state, view, now, is_rejected=False)
         _record_work(state, view, outcome, now)
-    sample = 1 if outcome.is_failure or outcome.is_shed else 0
+    sample = 1 if is_bad else 0
     view.failure_rate += _FAILURE_GAIN * (sample - view.failure_rate)
     view.failures = view.failures + 1 if outcome.is_failure else 0
     if outcome.is_unreachable:
-        # The server certainly does not respond, so unlike an ejection this is
-        # not limited to a fraction of the servers.
-        view.is_unreachable = True
-        record_unreachable(state, view, now)
-        view.ejected_until = now + _UNREACHABLE_NS
+        eject_unreachable(state, view, now)
         return True
     if outcome.work:
         view.is_unreachable = False
-    is_bad = (
+    is_failing = (
         view.failures >= FAILURES_TO_EJECT
         or view.failure_rate > _EJECTION_FAILURE_RATE
     )
-    return is_bad and eject(state, view, now)
-
-
-def eject_if_silent(
-    state: PlacementState,
-    view: ServerView,
-    sent_at: Nanoseconds,
-    now: Nanoseconds,
-) -> None:
-    """Eject a server that has not responded since a request was sent."""
-    if view.last_response_at < sent_at and view.ejected_until <= now:
-        eject(state, view, now)
+    return is_failing and eject(state, view, now)
 
 
 def record_report(
--- a/packages/core/src/geraniumshelf_core/placement/queries.py
+++ b/packages/core/src/geraniumshelf_core/placement/queries.py
@@ -24,6 +24,7 @@
     usable_slots,
 )
 from geraniumshelf_core.placement.notices import is_paused
+from geraniumshelf_core.placement.pacing import open_servers
 from geraniumshelf_core.placement.rejections import relative_attempts
 from geraniumshelf_core.placement.state import (
     Candidate,
@@ -169,22 +170,25 @@
     """Return the candidate with the lowest cost in a region.
 
     The first eligible server of the ranking is the home of the object, where
-    the object is expected to be warm.
+    the object is expected to be warm. It remains the home while its pace allows
+    no request, so that no other server is taken for warm instead.
     """
     best: Candidate | None = None
     min_cost: tuple[bool, float] = (True, inf)
     typical = typical_work(state, request.service)
-    has_home = False
-    for name in _ranking(state, request, region):
-        view = state.servers[name]
-        if name in request.excluded or not _is_eligible(state, view, now):
-            continue
-        is_warm = not has_home or request.object_name in view.warm_objects
+    eligible = [
+        view
+        for name in _ranking(state, request, region)
+        if name not in request.excluded
+        and _is_eligible(state, view := state.servers[name], now)
+    ]
+    for view in open_servers(eligible, now):
+        is_home = view is eligible[0]
+        is_warm = is_home or request.object_name in view.warm_objects
         candidate = make_candidate(state, view, typical, is_warm, now)
         cost = _cost(state, candidate, now)
         if cost < min_cost:
             best, min_cost = candidate, cost
-        has_home = True
     return best
 
 
--- a/packages/core/src/geraniumshelf_core/placement/state.py
+++ b/packages/core/src/geraniumshelf_core/placement/state.py
@@ -8,6 +8,7 @@
 
 from geraniumshelf_core.dispatch.state import Place
 from geraniumshelf_core.placement.demand import DemandState
+from geraniumshelf_core.placement.paces import Pace
 from geraniumshelf_core.placement.rejection_rates import RejectionRate
 from geraniumshelf_core.placement.server_limits import ServerLimit
 from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
@@ -81,6 +82,8 @@
             recently used first (an ordered set).
         idle_time: Keep-alive timeout that it announced, ``None`` if it
             announced none.
+        pace: Limits on the requests to it after its start or recovery, ``None``
+            if it is not paced.
         rejections: Rate at which it rejects requests without being full.
         longest_queue: Most requests that it has reported as waiting.
     """
@@ -108,6 +111,7 @@
     reserved_sends: int = 0
     warm_objects: dict[str, None] = field(factory=dict)
     idle_time: Nanoseconds | None = None
+    pace: Pace | None = None
     rejections: RejectionRate = field(factory=RejectionRate)
     longest_queue: int = 0
 
@@ -184,6 +188,7 @@
         typical_work_times: Average work by service.
         speeds_known_at: Last time at which a server reported its speed, by
             service.
+        region_entries: Daemons of the own region that take callers.
         rejections: Rate of rejections without being full, by service.
         has_placed_requests: Whether requests have been placed; from then on
             objects change region only in bounded steps.
@@ -210,6 +215,7 @@
     rankings: dict[tuple[str, str, str], tuple[str, ...]] = field(factory=dict)
     typical_work_times: dict[str, TypicalWork] = field(factory=dict)
     speeds_known_at: dict[str, Nanoseconds] = field(factory=dict)
+    region_entries: int = 1
     rejections: dict[str, RejectionRate] = field(factory=dict)
     has_placed_requests: bool = False
     started_at: Nanoseconds = LONG_AGO
--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -32,6 +32,8 @@
             that they name.
         shares_readings: Whether the speeds that servers report count, and
             daemons exchange readings of servers.
+        paces_servers: Whether a server that has just started or recovered gets
+            requests at a pace that its responses determine.
         counts_rejections: Whether a server that rejects requests without being
             full is judged by the rate of its rejections. Otherwise it counts as
             full and failing.
@@ -52,6 +54,7 @@
     late_part: float = 0.3
     keeps_server_limits: bool = True
     shares_readings: bool = True
+    paces_servers: bool = True
     counts_rejections: bool = True
     plans_by_demand: bool = True
     renews_lost_watches: bool = True
--- a/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/server_selection.py
@@ -11,10 +11,8 @@
 )
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_core.placement.cold_starts import is_send_allowed
-from geraniumshelf_core.placement.commands import (
-    eject_if_silent,
-    record_need,
-)
+from geraniumshelf_core.placement.commands import record_need
+from geraniumshelf_core.placement.ejections import eject_if_silent
 from geraniumshelf_core.placement.estimates import typical_work
 from geraniumshelf_core.placement.limited_servers import use_permit
 from geraniumshelf_core.placement.queries import (
