Read memory, descriptors and the head timeout from the settings

Cause: The settings name the memory and the descriptors of the machine, and the configuration the time for a request head, but nothing reads them.

Change: EdgeSettings has both, 0 if not stated. The pool of connections to servers can be bounded over all servers; it then closes the one that has been idle longest. An upload reports the memory of its kept chunks.

Result: No change of behaviour by itself.

Callers gain: Nothing yet.

--- a/packages/core/src/geraniumshelf_core/site/model.py
+++ b/packages/core/src/geraniumshelf_core/site/model.py
@@ -105,11 +105,13 @@
         max_header_bytes: Maximum size of the head of a request.
         max_body_bytes: Maximum size of the body of a request.
         idle_timeout: Maximum time that a connection may be idle.
+        header_timeout: Maximum time for the head of a request, 0 if not stated.
     """
 
     max_header_bytes: int
     max_body_bytes: int
     idle_timeout: Nanoseconds
+    header_timeout: Nanoseconds = 0
 
 
 @frozen
--- a/packages/daemon/src/geraniumshelf_daemon/edge/connections.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/connections.py
@@ -39,16 +39,27 @@
 
     Args:
         clock: Returns the current time, nanoseconds.
+        max_idle: Most idle connections to all servers, 0 for no bound.
     """
 
-    def __init__(self, clock: Callable[[], Nanoseconds]) -> None:
-        self._pool = ConnectionPool(_MAX_IDLE_CONNECTIONS, CONNECT_TIMEOUT_NS)
+    def __init__(
+        self, clock: Callable[[], Nanoseconds], max_idle: int = 0
+    ) -> None:
+        self._pool = ConnectionPool(
+            _MAX_IDLE_CONNECTIONS, CONNECT_TIMEOUT_NS, max_idle
+        )
         self._clock = clock
         self._state = IdleLimits()
 
-    async def acquire(self, view: ServerView) -> AcquiredConnection:
+    async def acquire(
+        self, view: ServerView, on_open: Callable[[IOStream], None]
+    ) -> AcquiredConnection:
         """Return an idle or a new connection to a server.
 
+        Args:
+            view: The server.
+            on_open: Called with a new connection before it connects.
+
         Raises:
             OSError: If the server accepts no connection; nothing was sent.
         """
@@ -58,7 +69,9 @@
         )
         idle_connection = self._pool.take_idle(server.address, now - max_idle)
         if idle_connection is None:
-            return AcquiredConnection(await self._pool.connect(server.address))
+            return AcquiredConnection(
+                await self._pool.connect(server.address, on_open)
+            )
         stream, idle_since = idle_connection
         return AcquiredConnection(stream, now - idle_since)
 
--- a/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
@@ -88,6 +88,8 @@
         metrics_address: Address for metrics collectors; empty disables it.
         store_address: Address of the platform's store.
         bounds: Limits set by the operators.
+        memory_bytes: Memory of the instance, 0 if not stated.
+        max_descriptors: Descriptors that the daemon may open, 0 if not stated.
     """
 
     name: str
@@ -103,6 +105,8 @@
     metrics_address: str
     store_address: str
     bounds: OperatorBounds = field(repr=False)
+    memory_bytes: int = 0
+    max_descriptors: int = 0
 
     @property
     def region(self) -> str:
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/pool.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections import defaultdict
+from collections.abc import Callable
 
 from tornado.iostream import IOStream
 
@@ -18,9 +19,17 @@
     Args:
         max_idle: Maximum number of idle connections to a backend server.
         connect_timeout: Time allowed for opening a connection, nanoseconds.
+        max_total_idle: Maximum number of idle connections to all servers, 0 for
+            no bound.
     """
 
-    def __init__(self, max_idle: int, connect_timeout: Nanoseconds) -> None:
+    def __init__(
+        self,
+        max_idle: int,
+        connect_timeout: Nanoseconds,
+        max_total_idle: int = 0,
+    ) -> None:
+        self._max_total_idle = max_total_idle
         self._max_idle = max_idle
         self._connect_timeout_s = ns_to_seconds(connect_timeout)
         self._idle: dict[str, list[_IdleConnection]] = defaultdict(list)
@@ -81,9 +90,21 @@
         idle = self._idle[address]
         if len(idle) < self._max_idle and not stream.closed():
             idle.append((stream, now))
+            if self._max_total_idle and (
+                self.total_idle() > self._max_total_idle
+            ):
+                self._close_oldest()
         else:
             stream.close()
 
+    def _close_oldest(self) -> None:
+        # Connections are appended as they become idle.
+        oldest = min(
+            filter(None, self._idle.values()), key=lambda one: one[0][1]
+        )
+        stream, _ = oldest.pop(0)
+        stream.close()
+
     def close_idle(self, address: str) -> int:
         """Close the idle connections to a server and return their number.
 
@@ -99,15 +120,25 @@
         for address in tuple(self._idle):
             self.close_idle(address)
 
-    async def connect(self, address: str) -> IOStream:
+    async def connect(
+        self,
+        address: str,
+        on_open: Callable[[IOStream], None] | None = None,
+    ) -> IOStream:
         """Open a connection.
 
+        Args:
+            address: IP address and port.
+            on_open: Called with the stream before it connects; may raise.
+
         Raises:
             OSError: If it could not be opened; nothing was sent.
         """
         host, _, port = address.rpartition(':')
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         try:
+            if on_open is not None:
+                on_open(stream)
             await asyncio.wait_for(
                 stream.connect((host, int(port))), self._connect_timeout_s
             )
--- a/packages/daemon/src/geraniumshelf_daemon/upstream/upload.py
+++ b/packages/daemon/src/geraniumshelf_daemon/upstream/upload.py
@@ -1,5 +1,6 @@
 """Sends a request body, and replays it for further attempts."""
 
+from collections.abc import Callable
 from typing import Final
 
 from geraniumshelf_core.errors import RequestRefused, ResultCode
@@ -15,6 +16,8 @@
 # Larger bodies aren't kept in memory, so they can't be replayed. The limit
 # covers photographs of ledgers, which have up to 360 kB.
 _MAX_REPLAY_BYTES: Final = 524288
+# Memory that a chunk takes beyond its length.
+_CHUNK_OVERHEAD_BYTES: Final = 64
 
 
 class Upload:
@@ -24,11 +27,20 @@
         body: Chunks received from the caller.
         pacer: Limits the rate on links to other regions.
         has_body: Whether the request has a body.
+        hold: Called with the memory of each kept chunk, and with the negative
+            sum when the chunks are dropped.
     """
 
     def __init__(
-        self, body: ByteChannel, pacer: LinkPacer, *, has_body: bool
+        self,
+        body: ByteChannel,
+        pacer: LinkPacer,
+        *,
+        has_body: bool,
+        hold: Callable[[int], None] | None = None,
     ) -> None:
+        self._hold = hold
+        self._held_bytes = 0
         self._body = body
         self._pacer = pacer
         self._kept_chunks: list[bytes] = []
@@ -115,5 +127,12 @@
         if self._kept_bytes > _MAX_REPLAY_BYTES:
             self._can_replay = False
             self._kept_chunks.clear()
+            self._charge(-self._held_bytes)
         elif chunk and self._can_replay:
             self._kept_chunks.append(chunk)
+            self._charge(len(chunk) + _CHUNK_OVERHEAD_BYTES)
+
+    def _charge(self, size: int) -> None:
+        self._held_bytes += size
+        if self._hold is not None:
+            self._hold(size)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -99,3 +99,14 @@
     with pytest.raises(OperatorError) as caught:
         read_settings(str(path))
     assert caught.value.code is ResultCode.FILE_UNREADABLE
+
+
+def test_memory_and_descriptors_are_optional(tmp_path: Path) -> None:
+    """Guards against bounds in deployments whose settings name none."""
+    path = tmp_path / 'boot.json'
+    found = read_settings(_write(path, SETTINGS))
+    assert (found.memory_bytes, found.max_descriptors) == (0, 0)
+    limits = {'memory_mb': 152, 'max_fds': 1535}
+    found = read_settings(_write(path, {**SETTINGS, 'limits': limits}))
+    assert found.memory_bytes == 152 * 1048576
+    assert found.max_descriptors == 1535
