--- a/packages/core/src/geraniumshelf_core/policies.py
+++ b/packages/core/src/geraniumshelf_core/policies.py
@@ -1,7 +1,7 @@
 """Policies for overload and their constants.
 
-The daemon uses the defaults. Tests and the emulator disable individual
-policies to measure their effect; operators cannot set any of them.
+Tests and the emulator disable individual policies to measure their effect.
+Operators can set those that are flags of the daemon's program on a platform.
 """
 
 from typing import Final
--- a/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
@@ -5,6 +5,7 @@
 
 from attrs import field, frozen
 
+from geraniumshelf_core.policies import DEFAULT_POLICIES, Policies
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
 
 # Upper bound on the time that a request takes from one daemon through another
@@ -90,6 +91,7 @@
         bounds: Limits set by the operators.
         memory_bytes: Memory of the instance, 0 if not stated.
         max_descriptors: Descriptors that the daemon may open, 0 if not stated.
+        policies: The policies in use.
     """
 
     name: str
@@ -107,6 +109,7 @@
     bounds: OperatorBounds = field(repr=False)
     memory_bytes: int = 0
     max_descriptors: int = 0
+    policies: Policies = DEFAULT_POLICIES
 
     @property
     def region(self) -> str:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -75,6 +75,7 @@
         settings.regions,
         whole_shares=whole_shares,
         started_at=now,
+        policies=settings.policies,
     )
     quotas = AccountQuotas(
         bounds.quota_overshoot,
@@ -82,6 +83,7 @@
         ns_to_seconds(bounds.quota_window),
         whole_shares,
         now,
+        policies=settings.policies,
     )
     retries = RetryShares(
         bounds.retry_ratio,
