--- a/packages/daemon/src/geraniumshelf_daemon/edge/delivery.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/delivery.py
@@ -1,11 +1,19 @@
 """Hands over the body of a request and the response to it."""
 
+import asyncio
+from typing import Final
+
+from geraniumshelf_core.units import SECOND_NS, Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.edge.attempt import ServerAttempt, ServerResponse
 from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.front.headers import relayed_headers
 from geraniumshelf_daemon.upstream.links import LinkPacer
 from geraniumshelf_daemon.upstream.upload import Upload
 
+# Extends the deadline: callers may read slowly, no server may send forever.
+_DELIVERY_S: Final = 30
+_DELIVERY_NS: Final[Nanoseconds] = _DELIVERY_S * SECOND_NS
+
 
 def make_upload(caller: Caller, pacer: LinkPacer) -> Upload:
     """Return the body of a request, whose copy the caller is charged for."""
@@ -14,6 +22,19 @@
     )
 
 
+def delivery_timeout(
+    deadline: Nanoseconds, now: Nanoseconds
+) -> asyncio.Timeout:
+    """Return the timeout of the delivery of a response.
+
+    Args:
+        deadline: Deadline of the request.
+        now: Current time.
+    """
+    time_left = max(0, deadline - now) + _DELIVERY_NS
+    return asyncio.timeout(ns_to_seconds(time_left))
+
+
 async def relay_response(
     caller: Caller, attempt: ServerAttempt, response: ServerResponse
 ) -> None:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from random import Random
 from traceback import format_tb
-from typing import Final
 
 from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_core.placement.cold_starts import record_send, reserved_send
@@ -16,7 +15,6 @@
 from geraniumshelf_core.placement.state import Candidate
 from geraniumshelf_core.site.model import Repeatability
 from geraniumshelf_core.units import (
-    SECOND_NS,
     Nanoseconds,
     ns_to_seconds,
 )
@@ -25,7 +23,11 @@
     ServerAttempt,
     ServerResponse,
 )
-from geraniumshelf_daemon.edge.delivery import make_upload, relay_response
+from geraniumshelf_daemon.edge.delivery import (
+    delivery_timeout,
+    make_upload,
+    relay_response,
+)
 from geraniumshelf_daemon.edge.grace import collect_body
 from geraniumshelf_daemon.edge.interface import CallerFields, ReportedLoad
 from geraniumshelf_daemon.edge.loading import LoadingGate
@@ -61,10 +63,6 @@
 from geraniumshelf_daemon.upstream.progress import AttemptFailed
 from geraniumshelf_daemon.upstream.upload import Upload
 
-# Extends the deadline: callers may read slowly, no server may send forever.
-_DELIVERY_S: Final = 30
-_DELIVERY_NS: Final[Nanoseconds] = _DELIVERY_S * SECOND_NS
-
 
 class Relay:
     """Serves requests from their arrival to the end of the response.
@@ -157,9 +155,8 @@
                 'no response before the deadline',
                 ran=progress.ran,
             ) from error
-        time_left = max(0, request.deadline - self._clock()) + _DELIVERY_NS
         try:
-            async with asyncio.timeout(ns_to_seconds(time_left)):
+            async with delivery_timeout(request.deadline, self._clock()):
                 await relay_response(caller, attempt, response)
         finally:
             attempt.close()
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -173,7 +173,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The caller would never stop reading, and the slot would stay in use."""
-    monkeypatch.setattr('geraniumshelf_daemon.edge.relay._DELIVERY_NS', 10**8)
+    monkeypatch.setattr(
+        'geraniumshelf_daemon.edge.delivery._DELIVERY_NS', 10**8
+    )
 
     async def scenario() -> None:
         server = _EndlessServer('i-1')
