Let the emulator use the policies that the daemon's program uses

Cause: the emulator paced servers and planned by demand, which the program leaves off unless a flag is set. Evidence: test_crowded_fleet_recovers_when_its_servers_are_back failed with the pace (0.793 instead of 0.823 of the requests on time after the return), and passes without it; the check and its bound are as before.

--- a/tools/emulator/experiment.py
+++ b/tools/emulator/experiment.py
@@ -12,6 +12,11 @@
 T = TypeVar('T')
 
 PATTERNS: Final = Path(__file__).parent / 'patterns'
+# Policies that the program of the daemon leaves off unless a flag is set.
+_DEFAULTS_OF_THE_PROGRAM: Final = {
+    'paces_servers': False,
+    'plans_by_demand': False,
+}
 
 
 class ExperimentError(Exception):
@@ -237,7 +242,8 @@
     services = tuple(_build(Service, row) for row in tables.pop('services', ()))
     kinds = tuple(_build(Kind, row) for row in tables.pop('kinds', ()))
     events = tuple(_build(Event, row) for row in tables.pop('events', ()))
-    policies = _build(Policies, tables.pop('policies', {}))
+    rows = _DEFAULTS_OF_THE_PROGRAM | tables.pop('policies', {})
+    policies = _build(Policies, rows)
     experiment = _build(
         Experiment,
         {
