Show sale records cut at a planned stop, on connections passed on

Tried: a machine restarts while the store turns it away, takes clients again (planned work, and a disruption that ends 6 s before what counts), and is stopped once more. The clients send sale records on kept connections.

--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -694,6 +694,79 @@
             task.cancel()
 
 
+# The platform turns one of three machines away ("share": 0.35), for 9 s.
+TURNED_AWAY_S = 9
+
+
+async def is_named(record, deployment, daemon):
+    """Return whether the directory names a daemon to clients of its zone."""
+    other = deployment.daemons[1]
+    addresses, _ = await look_up(record, other, 'z-a')
+    return f'{daemon.front[0]}:{daemon.front[1]}' in addresses
+
+
+async def restart_first(deployment, record, trouble):
+    """Stop and start the first daemon while the store turns it away.
+
+    Its clients keep the last answer of the directory three times as long as
+    it states, and connect again.
+
+    Returns:
+        The time at which the disruption begins, ``None`` if it failed.
+    """
+    first = deployment.daemons[0]
+    await asyncio.sleep(4)
+    if trouble:
+        record.say(f'the store turns {first.name} away')
+        deployment.store.turn_away(first.ip)
+    began_at = now()
+    # Planned work: the machine is stopped and started.
+    if not await is_named(record, deployment, first):
+        return None
+    first.signal(signal.SIGTERM)
+    if not await first.wait_exit(GRACE_S + 2):
+        return None
+    first.start()
+    await asyncio.sleep(1.5)
+    # Planned work: the operator adds a route, and the other machines get it.
+    changed = json.loads(
+        json.dumps(deployment.store.objects['config', 'main']['spec'])
+    )
+    changed['version'] += 2
+    changed['hosts'][0]['paths'].append(
+        {
+            **changed['hosts'][0]['paths'][0],
+            'name': 'r-added',
+            'path_prefix': '/added/',
+        }
+    )
+    deployment.store.put('config', 'main', changed)
+    record.say(f'the operator adds a route, version {changed["version"]}')
+    await asyncio.sleep(0.8)
+    return began_at
+
+
+async def connect_all(record, address, count):
+    """Return clients of the zone, which connect at the same time."""
+    clients = [Client(record, address, f'c{index}') for index in range(count)]
+    await asyncio.gather(*(client.connect() for client in clients))
+    record.say(f'{count} clients connect')
+    return clients
+
+
+async def calm_down(deployment, record, began_at):
+    """End the disruption; return whether the first daemon is in touch."""
+    first = deployment.daemons[0]
+    await asyncio.sleep(max(0, began_at + TURNED_AWAY_S - now()))
+    deployment.store.turned_away.clear()
+    record.say(f'the store serves {first.name}')
+    if not await first.wait_ready():
+        return False
+    # Longer than contact_s: no unplanned disruption counts any more.
+    await asyncio.sleep(CONTACT_S + 2)
+    return await is_named(record, deployment, first)
+
+
 def run(case_folder, scenario, limit_s=110):
     """Run a scenario and exit: 1 if the rule was broken, 0 if it held.
 
