Show answers cut at a planned stop, on a daemon's own pipelined connections

Tried: clients that keep eight look-ups in progress on a connection, over a link with the site's delay and a window of 16 KiB; the machine gets SIGTERM.

--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -282,6 +282,8 @@
         # Ids of runs that ended because the connection closed.
         self.dropped = set()
         self.work_s = lambda target: 0.05
+        # Returns the least size of an answer, bytes.
+        self.content_size = lambda: 0
         # May return the raw bytes of an answer in place of the usual one.
         self.answer = None
         self.address = ''
@@ -355,6 +357,7 @@
                 await writer.drain()
                 return True
         content = f'{self.name} {request_id} {target}'.encode()
+        content = content.ljust(self.content_size(), b'.')
         await self._send(
             writer,
             200,
