--- a/review/6/case.py
+++ b/review/6/case.py
@@ -70,7 +70,7 @@
         self.record.say(
             f'server {self.name} runs {request_id} {method} {target}'
         )
-        is_early = self.is_faulty and self.taken % 5 < EARLY_OF_FIVE
+        is_early = self.is_faulty and self.taken % 5 >= 5 - EARLY_OF_FIVE
         # A rejection, or a success, as our users saw it.
         status = 500 if self.taken % 2 else 200
         self.taken += 1
