Forward requests, not connections, until a daemon has loaded

Cause: a daemon that had not loaded copied the bytes of a connection to an entry. Copied bytes have no end of a request: the daemon could not announce the close with a response, could not serve the next request itself once it had loaded, and closed the connection at 95% of the grace period.

Ruled out: the entry ending these connections (it is not stopped), and the servers (each answer was on its way).

Change: the front reads all requests; a daemon that has not loaded forwards the request, on a connection of its own, with the rest of the deadline and a mark against a second hop. Keep-alive, planned stops, deadlines, limits of callers and cancellation are those of the one request path. Requests that come after the port has closed are refused as not run; an entry that ends gives 502 and no second try; a frozen one 504. The idle timeout of a connection follows the configuration also if the connection is older.

Why it works: the last response of a connection is written by the daemon that stops, so it carries Connection: close, and the daemon knows which requests are still due.

Result: tests/platform/test_forwarding.py.

--- a/packages/core/src/geraniumshelf_core/presence/freshness.py
+++ b/packages/core/src/geraniumshelf_core/presence/freshness.py
@@ -42,11 +42,11 @@
 
 
 @define
-class ConnectionForwarding:
-    """State of the forwarding of connections by a standby.
+class ForwardingState:
+    """State of the forwarding of requests by a daemon that has not loaded.
 
     Attributes:
-        target: Name of the entry instance that gets the connections.
+        target: Name of the entry instance that gets the requests.
         last_request_at: Last time at which a request came through this daemon.
         version: Newest version of the configuration that a target has
             reported.
@@ -181,12 +181,12 @@
 
 def choose_forwarding_target(
     state: PresenceState,
-    forwarding: ConnectionForwarding,
+    forwarding: ForwardingState,
     own: PresenceHeartbeat,
     max_age: Nanoseconds,
     now: Nanoseconds,
 ) -> PresenceHeartbeat | None:
-    """Return the entry to which this standby forwards connections.
+    """Return the entry to which this daemon forwards requests.
 
     The target is kept while it qualifies, as another entry may have an older
     configuration. An entry becomes the new target only if the store has
--- a/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/daemon.py
@@ -10,7 +10,11 @@
 from geraniumshelf_core.presence.commands import update_request_rate
 from geraniumshelf_core.presence.entry_role import EntryRole
 from geraniumshelf_core.presence.state import RequestRate
-from geraniumshelf_core.units import Nanoseconds, ns_to_seconds
+from geraniumshelf_core.units import (
+    MILLISECOND_NS,
+    Nanoseconds,
+    ns_to_seconds,
+)
 from geraniumshelf_daemon.edge.attempt import AttemptDependencies
 from geraniumshelf_daemon.edge.caller_limits import (
     apply_timeouts,
@@ -25,12 +29,12 @@
     ReadyCheck,
 )
 from geraniumshelf_daemon.edge.fleet import FleetLink
-from geraniumshelf_daemon.edge.forwarding import ConnectionForwarder
+from geraniumshelf_daemon.edge.forwarding import RequestForwarder
 from geraniumshelf_daemon.edge.health_checks import HealthChecker
 from geraniumshelf_daemon.edge.interface import HeaderCodec, PlatformStore
 from geraniumshelf_daemon.edge.limits import count_daemons, divide_limits
 from geraniumshelf_daemon.edge.listeners import Listeners
-from geraniumshelf_daemon.edge.loading import LoadingGate
+from geraniumshelf_daemon.edge.loading import LoadingGate, LoadingPath
 from geraniumshelf_daemon.edge.relay import Relay
 from geraniumshelf_daemon.edge.settings import EdgeSettings
 from geraniumshelf_daemon.edge.spill_controller import SpillController
@@ -55,7 +59,8 @@
 _STARTUP_TICK_S: Final = 0.02
 # Callers learn within this time that the daemon is shutting down; until then it
 # accepts new connections.
-_LEAVE_NOTICE_S: Final = 2.5
+_LEAVE_NOTICE_MS: Final = 2500
+_LEAVE_NOTICE_NS: Final[Nanoseconds] = _LEAVE_NOTICE_MS * MILLISECOND_NS
 # Fraction of the grace period after which requests in flight are aborted.
 _GRACE_FRACTION: Final = 0.95
 _DRAIN_POLL_S: Final = 0.05
@@ -107,6 +112,14 @@
             clock, max_idle_connections(settings)
         )
         self._budget = make_budget(settings)
+        forwarder = RequestForwarder(
+            self._presence,
+            self._state,
+            self._fleet.own_heartbeat,
+            lambda: self._settings.bounds,
+            clock,
+            codec,
+        )
         relay = Relay(
             self._state,
             AttemptDependencies(
@@ -119,7 +132,9 @@
             self._fleet.permits,
             clock,
             self._random,
-            LoadingGate(self._state, self._will_load, clock),
+            LoadingPath(
+                forwarder, LoadingGate(self._state, self._will_load, clock)
+            ),
         )
         directory = Directory(
             self._presence,
@@ -127,14 +142,6 @@
             self._fleet.own_heartbeat,
             bounds.max_ttl,
         )
-        self._forwarder = ConnectionForwarder(
-            self._presence,
-            self._state,
-            self._fleet.own_heartbeat,
-            lambda: self._settings.bounds,
-            clock,
-            self._budget,
-        )
         metrics = PrometheusMetrics()
         install_metrics(metrics)
         self._listeners = Listeners(
@@ -142,7 +149,6 @@
             directory.serve,
             ReadyCheck(self._is_ready).serve,
             MetricsPage(metrics, self._fleet.read_status).serve,
-            self._forwarder.try_forward,
             self._budget,
         )
         self._health_checker = HealthChecker(
@@ -199,13 +205,15 @@
         grace_time = round(self._settings.bounds.grace_period * _GRACE_FRACTION)
         self._state.is_stopping = True
         self._state.abort_at = started_at + grace_time
+        self._state.accepts_until = started_at + _LEAVE_NOTICE_NS
         self._fleet.heartbeats.announce(is_ready=False, is_standby=False)
         self._listeners.front.stop_keep_alive()
-        await asyncio.sleep(_LEAVE_NOTICE_S)
+        await asyncio.sleep(ns_to_seconds(_LEAVE_NOTICE_NS))
         self._listeners.front.stop_accepting()
         # Connections are counted instead of tasks: a request that was just
         # read may not have a running task yet.
-        while self._close_idle() and self._clock() < self._state.abort_at:
+        front = self._listeners.front
+        while front.close_idle() and self._clock() < self._state.abort_at:
             await asyncio.sleep(_DRAIN_POLL_S)
         await self.close()
         log_event(
@@ -220,18 +228,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._store_follower.stop()
-        await self._forwarder.close()
         await self._listeners.close()
         install_metrics(None)
         self._fleet.close()
         self._connections.close()
 
-    def _close_idle(self) -> int:
-        forwarded = self._forwarder.close_unused(
-            self._clock(), is_stopping=True
-        )
-        return forwarded + self._listeners.front.close_idle()
-
     def _will_load(self) -> bool:
         is_leaving = self._standby.is_standby or self._stopping.is_set()
         return not is_leaving and not self._store_follower.is_disconnected
@@ -248,7 +249,6 @@
             self._store_follower.expire_missing(now)
             self._spills.adjust(now)
             self._fleet.notices.repeat(now)
-            self._forwarder.close_unused(now, is_stopping=False)
             update_request_rate(
                 self._request_rate, self._state.request_count, now
             )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/delivery.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/delivery.py
@@ -3,11 +3,16 @@
 import asyncio
 from typing import Final
 
+from geraniumshelf_core.errors import RequestRefused
 from geraniumshelf_core.units import SECOND_NS, Nanoseconds, ns_to_seconds
 from geraniumshelf_daemon.edge.attempt import ServerAttempt, ServerResponse
+from geraniumshelf_daemon.edge.forwarded_request import ForwardedRequest
+from geraniumshelf_daemon.edge.outcomes import count_refusal, log_refusal
+from geraniumshelf_daemon.edge.state import EdgeState, RequestProgress
 from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.front.headers import relayed_headers
 from geraniumshelf_daemon.upstream.links import LinkPacer
+from geraniumshelf_daemon.upstream.response_delegate import ResponseHead
 from geraniumshelf_daemon.upstream.upload import Upload
 
 # Extends the deadline: callers may read slowly, no server may send forever.
@@ -54,6 +59,42 @@
     await caller.response_writer.begin(
         response.status, response.reason, headers, response.body
     )
-    while chunk := await attempt.next_chunk():
+    await _relay_rest(caller, attempt)
+
+
+async def relay_forwarded(
+    caller: Caller, request: ForwardedRequest, head: ResponseHead
+) -> None:
+    """Relay the response of another daemon, chunk by chunk."""
+    status, reason, headers = head
+    await caller.response_writer.begin(
+        status, reason, relayed_headers(headers, is_from_daemon=True)
+    )
+    await _relay_rest(caller, request)
+
+
+async def refuse_caller(
+    state: EdgeState,
+    caller: Caller,
+    progress: RequestProgress,
+    refusal: RequestRefused,
+    now: Nanoseconds,
+) -> None:
+    """Send a refusal, or disconnect if a response has begun."""
+    if caller.response_writer.has_begun:
+        caller.response_writer.abort()
+        return
+    count_refusal(refusal.code)
+    log_refusal(state.log_budget, refusal, progress, now)
+    try:
+        await caller.response_writer.refuse(refusal)
+    except OSError:
+        caller.response_writer.abort()
+
+
+async def _relay_rest(
+    caller: Caller, source: ServerAttempt | ForwardedRequest
+) -> None:
+    while chunk := await source.next_chunk():
         await caller.response_writer.write(chunk)
     await caller.response_writer.end()
--- a/packages/daemon/src/geraniumshelf_daemon/edge/forwarding.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/forwarding.py
@@ -1,74 +1,56 @@
-"""Forwards connections from a daemon that has not loaded to an entry."""
+"""Forwards requests to an entry while this daemon has not loaded."""
 
-import asyncio
-import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Final
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.httputil import HTTPHeaders
 
+from geraniumshelf_core.errors import Ran, RequestRefused, ResultCode
 from geraniumshelf_core.presence.freshness import (
-    ConnectionForwarding,
+    ForwardingState,
     choose_forwarding_target,
 )
 from geraniumshelf_core.presence.state import PresenceHeartbeat, PresenceState
-from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
+from geraniumshelf_core.units import (
+    MILLISECOND_NS,
+    SECOND_NS,
+    Nanoseconds,
+    ns_to_seconds,
+)
+from geraniumshelf_daemon.edge.delivery import delivery_timeout, relay_forwarded
+from geraniumshelf_daemon.edge.forwarded_request import (
+    ForwardedRequest,
+    is_forwarded,
+)
+from geraniumshelf_daemon.edge.grace import may_forward
+from geraniumshelf_daemon.edge.interface import HeaderCodec
+from geraniumshelf_daemon.edge.routed_request import route_caller
 from geraniumshelf_daemon.edge.settings import OperatorBounds
-from geraniumshelf_daemon.edge.state import EdgeState
-from geraniumshelf_daemon.front.budget import CallerBudget
+from geraniumshelf_daemon.edge.state import EdgeState, RequestProgress
+from geraniumshelf_daemon.front.caller import Caller
 from geraniumshelf_daemon.observability.events import Event, log_event
-
-_CHUNK_BYTES: Final = 65536
-# Far above three times the network delay between two daemons of a zone.
-_CONNECT_TIMEOUT_S: Final = 0.3
-# A response counts as complete if the entry has sent its last bytes this long
-# ago and the caller has sent none since.
-_IDLE_MS: Final = 300
-_IDLE_NS: Final[Nanoseconds] = _IDLE_MS * MILLISECOND_NS
-
-
-# A connection of a caller and one to the entry, each with a chunk in a buffer.
-_DESCRIPTORS: Final = 2
-_BUFFER_BYTES: Final = 2 * _CHUNK_BYTES
-
-
-class _ForwardedConnection:
-    """A connection of a caller and the matching one to the entry."""
-
-    def __init__(self, caller: IOStream, target: str) -> None:
-        self._moved_at_s = asyncio.get_running_loop().time()
-        self.target = target
-        self.caller = caller
-        self.entry: IOStream | None = None
-        self.has_entry_responded = True
-        self.used_at: Nanoseconds = 0
-
-    def find_reason(self, now: float) -> str:
-        """Return no reason: the entry watches the caller's progress."""
-        return ''
-
-    def waited_since(self) -> float | None:
-        """Return the time of the last byte, as either end may be slow."""
-        return self._moved_at_s
-
-    def record_move(self, now: Nanoseconds) -> None:
-        """Record that bytes have moved."""
-        self.used_at = now
-        self._moved_at_s = asyncio.get_running_loop().time()
-
-    def close_now(self) -> None:
-        """Close both connections without waiting."""
-        self.close()
-
-    def close(self) -> None:
-        """Close both connections."""
-        self.caller.close()
-        if self.entry is not None:
-            self.entry.close()
-
-
-class ConnectionForwarder:
-    """Forwards connections, so that a standby can serve without loading.
+from geraniumshelf_daemon.observability.metric_names import Metric
+from geraniumshelf_daemon.observability.metrics import count_metric
+from geraniumshelf_daemon.upstream.response_delegate import ResponseHead
+
+# Bounds the wait of a caller that states no deadline; the timeout of its route
+# is not known before this daemon has loaded.
+_MAX_WAIT_S: Final = 120
+_MAX_WAIT_NS: Final[Nanoseconds] = _MAX_WAIT_S * SECOND_NS
+# Time for the entry's own response at the deadline to arrive.
+_RESPONSE_MARGIN_MS: Final = 100
+_RESPONSE_MARGIN_NS: Final[Nanoseconds] = _RESPONSE_MARGIN_MS * MILLISECOND_NS
+# Heartbeats of other daemons come more often than this.
+_RETRY_AFTER_S: Final = 0.5
+# Interval at which a waiting request checks whether this daemon has loaded.
+_CHECK_INTERVAL_S: Final = 0.1
+# Safe methods of RFC 9110, section 9.2.1.
+_SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS', 'TRACE'))
+
+
+class RequestForwarder:
+    """Forwards requests, so that a standby can serve without loading.
 
     Args:
         presence: State of the other daemons.
@@ -76,7 +58,7 @@
         own_heartbeat: Returns the newest heartbeat of this daemon.
         bounds: Returns the limits in force.
         clock: Returns the current time, nanoseconds.
-        budget: Charged with the connections.
+        codec: Reads and writes the headers of requests.
     """
 
     def __init__(
@@ -86,67 +68,32 @@
         own_heartbeat: Callable[[], PresenceHeartbeat],
         bounds: Callable[[], OperatorBounds],
         clock: Callable[[], Nanoseconds],
-        budget: CallerBudget,
+        codec: HeaderCodec,
     ) -> None:
-        self._budget = budget
         self._presence = presence
         self._state = state
         self._own_heartbeat = own_heartbeat
         self._bounds = bounds
         self._clock = clock
-        self._forwarding = ConnectionForwarding()
-        self._connections: set[_ForwardedConnection] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    def try_forward(self, caller: IOStream) -> bool:
-        """Forward a new connection; return whether there is a target."""
-        if self._state.is_loaded or self._state.is_stopping:
-            return False
-        target = self._find_target(self._clock())
-        if target is None:
-            return False
-        connection = _ForwardedConnection(caller, target.name)
-        self._connections.add(connection)
-        holding = self._budget.open(
-            connection, _find_address(caller), _DESCRIPTORS
-        )
-        self._budget.charge(holding, _BUFFER_BYTES)
-        task = asyncio.create_task(self._forward(connection, target))
-        task.add_done_callback(lambda _: self._budget.close(holding))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return True
-
-    def close_unused(self, now: Nanoseconds, *, is_stopping: bool) -> int:
-        """Close idle connections that are no longer needed.
+        self._codec = codec
+        self._forwarding = ForwardingState()
 
-        Args:
-            now: Current time.
-            is_stopping: Whether no connection is needed any more; otherwise
-                those to a former target are not.
+    def find_target(
+        self, caller: Caller, now: Nanoseconds
+    ) -> PresenceHeartbeat | None:
+        """Return the entry that serves a request in place of this daemon.
 
         Returns:
-            The number of open connections, with those closed by this call.
+            The heartbeat of the entry; ``None`` if this daemon serves the
+            request, or if no entry may.
         """
-        for connection in tuple(self._connections):
-            is_unneeded = (
-                is_stopping or connection.target != self._forwarding.target
-            )
-            is_idle = now - connection.used_at >= _IDLE_NS
-            if is_unneeded and connection.has_entry_responded and is_idle:
-                connection.close()
-        return len(self._connections)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        for connection in tuple(self._connections):
-            connection.close()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _find_target(self, now: Nanoseconds) -> PresenceHeartbeat | None:
-        forwarding = self._forwarding
+        state, forwarding = self._state, self._forwarding
+        if state.is_loaded or is_forwarded(caller.headers):
+            return None
+        if not may_forward(state, now):
+            return None
         forwarding.last_request_at = max(
-            forwarding.last_request_at, self._state.last_request_at
+            forwarding.last_request_at, state.last_request_at
         )
         return choose_forwarding_target(
             self._presence,
@@ -156,55 +103,103 @@
             now,
         )
 
-    async def _forward(
-        self, connection: _ForwardedConnection, target: PresenceHeartbeat
+    async def forward(
+        self,
+        caller: Caller,
+        target: PresenceHeartbeat,
+        progress: RequestProgress,
+        now: Nanoseconds,
     ) -> None:
-        entry = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-        connection.entry = entry
-        host, _, port = target.front_address.rpartition(':')
+        """Send a request to an entry and relay the response.
+
+        Args:
+            caller: The request.
+            target: Heartbeat of the entry.
+            progress: Records whether the request may have run.
+            now: Time of its arrival.
+
+        Raises:
+            RequestRefused: If the entry can't be reached, or if the response
+                is late or incomplete.
+        """
+        count_metric(Metric.REQUESTS_FORWARDED)
+        self._forwarding.last_request_at = now
+        if caller.method not in _SAFE_METHODS:
+            # If the response to an earlier request closes the connection, this
+            # one counts as not read and must not have reached a server.
+            await caller.wait_for_earlier_responses()
+        timeout = self._codec.read_request(caller.headers).timeout
+        max_wait = _MAX_WAIT_NS if timeout is None else timeout
+        deadline = now + max_wait
+        request = ForwardedRequest(caller, target.front_address)
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                await entry.connect((host, int(port)))
-            for stream in (entry, connection.caller):
-                stream.set_nodelay(True)
-            await asyncio.gather(
-                self._copy_requests(connection, entry),
-                self._copy_responses(connection, entry),
-            )
-        except (OSError, StreamClosedError) as error:
-            # Either end closed its connection; both are closed below.
+            await request.connect()
+            progress.ran = Ran.UNKNOWN
+            request.send(self._write_headers(caller, timeout, deadline))
+            head = await self._wait_for_head(caller, request, deadline, now)
+            async with delivery_timeout(deadline, self._clock()):
+                await relay_forwarded(caller, request, head)
+        except OSError as error:
             log_event(
                 Event.CONNECTION_PASSED, target.name, end=type(error).__name__
             )
+            raise _make_refusal(progress) from error
         finally:
-            connection.close()
-            self._connections.discard(connection)
+            request.close()
 
-    async def _copy_requests(
-        self, connection: _ForwardedConnection, entry: IOStream
-    ) -> None:
-        while True:
-            chunk = await connection.caller.read_bytes(
-                _CHUNK_BYTES, partial=True
-            )
-            connection.has_entry_responded = False
-            connection.record_move(self._clock())
-            self._forwarding.last_request_at = connection.used_at
-            await entry.write(chunk)
+    def _write_headers(
+        self, caller: Caller, timeout: Nanoseconds | None, deadline: Nanoseconds
+    ) -> HTTPHeaders:
+        time_left: Nanoseconds | None = None
+        if timeout is not None:
+            time_left = deadline - self._clock()
+        return self._codec.forward_request(caller.headers, time_left)
 
-    async def _copy_responses(
-        self, connection: _ForwardedConnection, entry: IOStream
-    ) -> None:
+    async def _wait_for_head(
+        self,
+        caller: Caller,
+        request: ForwardedRequest,
+        deadline: Nanoseconds,
+        arrived_at: Nanoseconds,
+    ) -> ResponseHead:
         while True:
-            chunk = await entry.read_bytes(_CHUNK_BYTES, partial=True)
-            connection.has_entry_responded = True
-            connection.record_move(self._clock())
-            await connection.caller.write(chunk)
-
-
-def _find_address(caller: IOStream) -> str:
-    try:
-        return str(caller.socket.getpeername()[0])
-    except OSError:
-        # The caller has already reset the connection.
-        return ''
+            deadline = min(deadline, self._route_deadline(caller, arrived_at))
+            # The entry refuses the request itself at its deadline.
+            time_left = deadline + _RESPONSE_MARGIN_NS - self._clock()
+            if time_left <= 0:
+                raise RequestRefused(
+                    ResultCode.DEADLINE_EXCEEDED,
+                    'no response of the entry instance before the deadline',
+                    ran=Ran.UNKNOWN,
+                )
+            wait_s = min(_CHECK_INTERVAL_S, ns_to_seconds(time_left))
+            head = await request.wait_head(wait_s)
+            if head is not None:
+                return head
+
+    def _route_deadline(
+        self, caller: Caller, arrived_at: Nanoseconds
+    ) -> Nanoseconds:
+        """Return the deadline that the route sets, once it is known."""
+        if self._state.is_loaded:
+            fields = self._codec.read_request(caller.headers)
+            # The configuration may not allow the request any more.
+            with suppress(RequestRefused):
+                return route_caller(
+                    self._state.table, caller, fields, arrived_at
+                ).deadline
+        return arrived_at + _MAX_WAIT_NS
+
+
+def _make_refusal(progress: RequestProgress) -> RequestRefused:
+    if progress.ran is Ran.NOT_RUN:
+        return RequestRefused(
+            ResultCode.NOT_READY,
+            'the entry instance that serves requests accepts no connection',
+            retry_after_s=_RETRY_AFTER_S,
+        )
+    return RequestRefused(
+        ResultCode.BACKEND_BROKEN,
+        'the connection to the entry instance ended without a response',
+        ran=progress.ran,
+    )
--- a/packages/daemon/src/geraniumshelf_daemon/edge/grace.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/grace.py
@@ -36,6 +36,15 @@
     return latency <= _USABLE_FRACTION * (state.abort_at - now)
 
 
+def may_forward(state: EdgeState, now: Nanoseconds) -> bool:
+    """Return whether a request may be forwarded to another daemon.
+
+    How long it takes there is not known, so in a planned stop only those are
+    that arrive while the daemon accepts connections.
+    """
+    return state.accepts_until is None or now < state.accepts_until
+
+
 def make_stop_refusal(progress: RequestProgress) -> RequestRefused:
     """Return the refusal of a request that comes too late in a stop."""
     return RequestRefused(
--- a/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/interface.py
@@ -126,6 +126,17 @@
     ) -> HTTPHeaders:
         """Return the headers for a backend server, without the key."""
 
+    def forward_request(
+        self, headers: HTTPHeaders, time_left: Nanoseconds | None
+    ) -> HTTPHeaders:
+        """Return the headers for another daemon, with the key.
+
+        Args:
+            headers: Headers as the caller sent them.
+            time_left: Time until the caller stops waiting, ``None`` if it has
+                not stated a time.
+        """
+
     def read_response(
         self, status: int, headers: HTTPHeaders
     ) -> ResponseFields:
--- a/packages/daemon/src/geraniumshelf_daemon/edge/listeners.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/listeners.py
@@ -1,11 +1,8 @@
 """The listening sockets of an edge daemon."""
 
-from collections.abc import Callable
 from functools import partial
 from typing import Final
 
-from tornado.iostream import IOStream
-
 from geraniumshelf_daemon.edge.settings import EdgeSettings
 from geraniumshelf_daemon.front.budget import CallerBudget
 from geraniumshelf_daemon.front.caller import Serve
@@ -26,7 +23,6 @@
         directory: Serves look-ups of entry instances.
         ready: Serves readiness checks of the platform.
         metrics: Serves metrics collectors.
-        divert: Returns whether it takes over a new connection of a caller.
         budget: Bounds what the callers of all listeners hold together.
     """
 
@@ -36,10 +32,9 @@
         directory: Serve,
         ready: Serve,
         metrics: Serve,
-        divert: Callable[[IOStream], bool],
         budget: CallerBudget,
     ) -> None:
-        self.front = FrontServer(front, _INITIAL_IDLE_TIMEOUT_S, divert, budget)
+        self.front = FrontServer(front, _INITIAL_IDLE_TIMEOUT_S, budget)
         make_server = partial(
             FrontServer,
             idle_timeout_s=_INITIAL_IDLE_TIMEOUT_S,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/loading.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/loading.py
@@ -4,7 +4,10 @@
 from collections.abc import Callable
 from typing import Final
 
+from attrs import frozen
+
 from geraniumshelf_core.units import MILLISECOND_NS, Nanoseconds
+from geraniumshelf_daemon.edge.forwarding import RequestForwarder
 from geraniumshelf_daemon.edge.state import EdgeState
 
 # A starting daemon loads everything it needs in about 0.2 s if the store
@@ -43,3 +46,16 @@
             if self._clock() >= deadline:
                 return
             await asyncio.sleep(_POLL_INTERVAL_S)
+
+
+@frozen
+class LoadingPath:
+    """What happens to requests until the daemon has loaded.
+
+    Attributes:
+        forwarder: Sends them to an entry, if there is one.
+        gate: Delays the others.
+    """
+
+    forwarder: RequestForwarder
+    gate: LoadingGate
--- a/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/relay.py
@@ -26,16 +26,15 @@
 from geraniumshelf_daemon.edge.delivery import (
     delivery_timeout,
     make_upload,
+    refuse_caller,
     relay_response,
 )
 from geraniumshelf_daemon.edge.grace import collect_body
 from geraniumshelf_daemon.edge.interface import CallerFields, ReportedLoad
-from geraniumshelf_daemon.edge.loading import LoadingGate
+from geraniumshelf_daemon.edge.loading import LoadingPath
 from geraniumshelf_daemon.edge.outcomes import (
-    count_refusal,
     failure_outcome,
     log_progress,
-    log_refusal,
     make_internal_fault,
     measure_run,
     retry_delay_s,
@@ -70,7 +69,7 @@
     Args:
         clock: Returns the current time, nanoseconds.
         random: Adds jitter to the retry delay of refused requests.
-        gate: Delays requests until the daemon has loaded.
+        loading: Serves requests until the daemon has loaded.
     """
 
     def __init__(
@@ -81,9 +80,9 @@
         permits: ServerPermits,
         clock: Callable[[], Nanoseconds],
         random: Random,
-        gate: LoadingGate,
+        loading: LoadingPath,
     ) -> None:
-        self._gate = gate
+        self._loading = loading
         self._state = state
         self._shared = dependencies
         self._clock = clock
@@ -98,26 +97,41 @@
         progress = RequestProgress()
         arrived_at = self._clock()
         self._state.in_flight += 1
-        self._state.last_request_at = arrived_at
-        self._state.request_count += 1
-        count_metric(Metric.REQUESTS)
         try:
-            await self._serve(caller, progress)
+            await self._serve_or_forward(caller, progress, arrived_at)
         except RequestRefused as refusal:
-            await self._refuse(caller, progress, refusal)
+            await refuse_caller(
+                self._state, caller, progress, refusal, self._clock()
+            )
         except (asyncio.CancelledError, OSError):
             caller.response_writer.abort()
         except Exception as error:
             lines = ''.join(format_tb(error.__traceback__))
             log_event(Event.TASK_FAILED, f'{type(error).__name__}\n{lines}')
-            await self._refuse(caller, progress, make_internal_fault())
+            fault = make_internal_fault()
+            await refuse_caller(
+                self._state, caller, progress, fault, self._clock()
+            )
         finally:
             self._state.in_flight -= 1
             time_metric(Metric.REQUEST_TIME, self._clock() - arrived_at)
 
+    async def _serve_or_forward(
+        self, caller: Caller, progress: RequestProgress, now: Nanoseconds
+    ) -> None:
+        forwarder = self._loading.forwarder
+        target = forwarder.find_target(caller, now)
+        if target is not None:
+            await forwarder.forward(caller, target, progress, now)
+            return
+        self._state.last_request_at = now
+        self._state.request_count += 1
+        count_metric(Metric.REQUESTS)
+        await self._serve(caller, progress)
+
     async def _serve(self, caller: Caller, progress: RequestProgress) -> None:
         now = self._clock()
-        await self._gate.wait(now)
+        await self._loading.gate.wait(now)
         fields = self._shared.codec.read_request(caller.headers)
         request = self._route(caller, fields, now)
         progress.request = request
@@ -269,19 +283,6 @@
             retry_after_s=retry_delay_s(progress, self._random),
         )
 
-    async def _refuse(
-        self, caller: Caller, progress: RequestProgress, refusal: RequestRefused
-    ) -> None:
-        if caller.response_writer.has_begun:
-            caller.response_writer.abort()
-            return
-        count_refusal(refusal.code)
-        log_refusal(self._state.log_budget, refusal, progress, self._clock())
-        try:
-            await caller.response_writer.refuse(refusal)
-        except OSError:
-            caller.response_writer.abort()
-
     def _log(
         self,
         event: Event,
--- a/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/settings.py
@@ -64,7 +64,7 @@
     def max_configuration_age(self) -> Nanoseconds:
         """Return the age up to which a confirmed configuration is current.
 
-        A standby forwards connections to an entry instance only if the
+        A daemon forwards requests to an entry instance only if the
         configuration there was confirmed within this time.
         """
         return self.apply_time - _FORWARDING_NS
--- a/packages/daemon/src/geraniumshelf_daemon/edge/state.py
+++ b/packages/daemon/src/geraniumshelf_daemon/edge/state.py
@@ -35,6 +35,8 @@
         is_stopping: Whether a graceful shutdown has begun.
         abort_at: Time at which it aborts the requests in flight, ``None``
             before it has begun.
+        accepts_until: Time until which it accepts connections, ``None`` before
+            it has begun.
         versions: Configuration versions of this and the other daemons.
     """
 
@@ -50,6 +52,7 @@
     request_count: int = 0
     is_stopping: bool = False
     abort_at: Nanoseconds | None = None
+    accepts_until: Nanoseconds | None = None
     versions: VersionState = field(factory=VersionState)
 
     @property
--- a/packages/daemon/src/geraniumshelf_daemon/front/connection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/connection.py
@@ -79,7 +79,8 @@
         params: Limits on the size of requests.
         context: Context that tornado keeps for the connection.
         make_caller: Creates the delegate that receives a request.
-        idle_timeout_s: Time after which an idle connection is closed.
+        idle_timeout_s: Returns the time after which an idle connection is
+            closed, seconds.
         on_close: Called once the connection is closed, even if a request in
             flight has not ended yet.
         budget: Charged with what the connection holds.
@@ -91,7 +92,7 @@
         params: HTTP1ConnectionParameters,
         context: PeerContext,
         make_caller: MakeCaller,
-        idle_timeout_s: float,
+        idle_timeout_s: Callable[[], float],
         on_close: Callable[['CallerConnection'], None],
         budget: CallerBudget,
     ) -> None:
@@ -217,11 +218,9 @@
     def _check_idle(self) -> None:
         if self._stream.closed():
             return
-        remaining_s = (
-            self._watch.last_used_at + self._idle_timeout_s - self._now()
-        )
-        if self._in_flight:
-            remaining_s = self._idle_timeout_s
+        remaining_s = self._idle_timeout_s()
+        if not self._in_flight:
+            remaining_s += self._watch.last_used_at - self._now()
         if remaining_s <= 0:
             self._stream.close()
             return
--- a/packages/daemon/src/geraniumshelf_daemon/front/headers.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/headers.py
@@ -13,6 +13,8 @@
 ID_HEADER: Final = 'Geraniumshelf-Request-Id'
 RAN_HEADER: Final = 'Geraniumshelf-Ran'
 CODE_HEADER: Final = 'Geraniumshelf-Code'
+# Marks a request that another daemon has forwarded.
+FORWARDED_HEADER: Final = 'Geraniumshelf-Forwarded'
 
 _INTERNAL_PREFIX: Final = 'geraniumshelf-'
 _HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -77,10 +79,19 @@
     return kept
 
 
-def relayed_headers(headers: HTTPHeaders) -> HTTPHeaders:
-    """Return the headers of a response that the caller may receive."""
+def relayed_headers(
+    headers: HTTPHeaders, *, is_from_daemon: bool = False
+) -> HTTPHeaders:
+    """Return the headers of a response that the caller may receive.
+
+    Args:
+        headers: Headers of the response.
+        is_from_daemon: Whether another daemon sent it, whose result codes the
+            caller receives as well.
+    """
     dropped = _dropped_names(headers)
-    dropped.update((CODE_HEADER.lower(), RAN_HEADER.lower()))
+    if not is_from_daemon:
+        dropped.update((CODE_HEADER.lower(), RAN_HEADER.lower()))
     kept = HTTPHeaders()
     for name, text in headers.get_all():
         if _normalize_name(name) not in dropped:
--- a/packages/daemon/src/geraniumshelf_daemon/front/server.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/server.py
@@ -1,7 +1,6 @@
 """Accepts connections of callers."""
 
 import asyncio
-from collections.abc import Callable
 from socket import socket
 from sys import maxsize
 from typing import Any, Final
@@ -35,7 +34,6 @@
         self,
         serve: Serve,
         idle_timeout_s: float = _IDLE_TIMEOUT_S,
-        divert: Callable[[IOStream], bool] | None = None,
         budget: CallerBudget | None = None,
     ) -> None:
         """Prepare to serve.
@@ -43,8 +41,6 @@
         Args:
             serve: Serves one request.
             idle_timeout_s: Time after which an idle connection is closed.
-            divert: Returns whether it takes over a new connection; if it does,
-                the server leaves the connection alone.
             budget: Bounds what callers hold; ``None`` for no bound.
         """
         self._delegate = _CallerFactory(serve)
@@ -58,12 +54,11 @@
         # its response, so ``CallerConnection`` has an idle timeout of its own.
         self._http.conn_params.header_timeout = None
         self._http.idle_timeout_s = idle_timeout_s
-        self._http.divert = divert
         self._http.budget = budget or CallerBudget()
         self._sockets: list[socket] = []
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
-        """Change the idle timeout of connections accepted from now on."""
+        """Change the idle timeout of all connections."""
         self._http.idle_timeout_s = idle_timeout_s
 
     def listen(self, host: str, port: int) -> int:
@@ -121,7 +116,6 @@
 
 class _Listener(HTTPServer):
     idle_timeout_s: float = _IDLE_TIMEOUT_S
-    divert: Callable[[IOStream], bool] | None = None
     budget: CallerBudget
 
     def initialize(self, *args: Any, **options: Any) -> None:
@@ -129,8 +123,6 @@
         self._serving: set[asyncio.Future[None]] = set()
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
-        if self.divert is not None and self.divert(stream):
-            return
         caller_stream = CallerStream(stream.socket, self.budget)
         caller_stream.set_nodelay(True)
         caller_factory = self.request_callback
@@ -140,7 +132,7 @@
             self.conn_params,
             PeerContext(str(address[0])),
             caller_factory.make_caller,
-            self.idle_timeout_s,
+            self._get_idle_timeout,
             self._remove_connection,
             self.budget,
         )
@@ -148,6 +140,9 @@
         self._serving.add(task := asyncio.ensure_future(connection.run()))
         task.add_done_callback(self._serving.discard)
 
+    def _get_idle_timeout(self) -> float:
+        return self.idle_timeout_s
+
     def _remove_connection(self, connection: CallerConnection) -> None:
         self._connections.discard(connection)
 
--- a/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
+++ b/packages/daemon/src/geraniumshelf_daemon/observability/metric_names.py
@@ -12,6 +12,7 @@
     LOOKUP_TIME = 'lookup_time'
     REQUESTS = 'requests'
     REQUESTS_REFUSED = 'requests_refused'
+    REQUESTS_FORWARDED = 'requests_forwarded'
     REQUEST_TIME = 'request_time'
     REQUESTS_IN_FLIGHT = 'requests_in_flight'
     RETRIES = 'retries'
--- a/tests/core/presence/test_freshness.py
+++ b/tests/core/presence/test_freshness.py
@@ -9,7 +9,7 @@
     register_instance,
 )
 from geraniumshelf_core.presence.freshness import (
-    ConnectionForwarding,
+    ForwardingState,
     choose_forwarding_target,
     has_missed_changes,
     is_prober,
@@ -116,7 +116,7 @@
 
 def test_standby_forwards_only_to_an_entry_with_fresh_configuration() -> None:
     """An entry that is cut off from the store has an outdated configuration."""
-    forwarding = ConnectionForwarding()
+    forwarding = ForwardingState()
     state = _large(_confirmed('a'))
     target = choose_forwarding_target(state, forwarding, _ME, _MAX_AGE_NS, _NOW)
     assert target is not None
@@ -134,7 +134,7 @@
     ):
         assert (
             choose_forwarding_target(
-                _large(other), ConnectionForwarding(), _ME, _MAX_AGE_NS, _NOW
+                _large(other), ForwardingState(), _ME, _MAX_AGE_NS, _NOW
             )
             is None
         )
@@ -142,7 +142,7 @@
 
 def test_standby_keeps_its_entry_and_never_gets_an_older_version() -> None:
     """A second entry may get a new configuration later than the first."""
-    forwarding = ConnectionForwarding('a', _NOW - SECOND_NS // 2)
+    forwarding = ForwardingState('a', _NOW - SECOND_NS // 2)
     both = _large(_confirmed('a'), _confirmed('z', 0.1))
     target = choose_forwarding_target(both, forwarding, _ME, _MAX_AGE_NS, _NOW)
     assert target is not None
--- /dev/null
+++ b/tests/platform/test_forwarding.py
@@ -0,0 +1,361 @@
+"""Tests of requests at a daemon that has not loaded, served by another one."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Any
+
+import pytest
+from attrs import define, evolve, field
+from tests.platform.harness import (
+    BOUNDS,
+    HOST,
+    TIMEOUT_S,
+    CallerStandin,
+    connect_to,
+    find_free_ports,
+    make_configuration,
+    make_path,
+    make_settings,
+    run_scenario,
+)
+from tests.platform.server_standin import ReceivedRequest, ServerStandin
+from tests.platform.store_standin import StoreStandin
+
+from geraniumshelf_core.units import SECOND_NS
+from geraniumshelf_daemon.edge import forwarding
+from geraniumshelf_daemon.edge.daemon import EdgeDaemon
+from geraniumshelf_daemon.edge.settings import EdgeSettings
+from geraniumshelf_platform.headers import PlatformHeaders
+from geraniumshelf_platform.store import ObjectStore
+
+_SLOW_S = 1.2
+_IPS = {'n1': '127.0.0.21', 'n2': '127.0.0.22'}
+
+
+class _TwoSpeedServer(ServerStandin):
+    """Works longer for targets with ``slow`` in their name."""
+
+    async def _handle(
+        self, request: ReceivedRequest, reader: asyncio.StreamReader
+    ) -> bytes:
+        if 'slow' in request.target:
+            await asyncio.sleep(_SLOW_S)
+        return await super()._handle(request, reader)
+
+
+@define(eq=False)
+class _Zone:
+    """The entry ``n2`` and ``n1``, which the store has not answered yet."""
+
+    store: StoreStandin
+    server: ServerStandin
+    settings: dict[str, EdgeSettings]
+    daemons: dict[str, EdgeDaemon] = field(factory=dict)
+
+    async def connect(self) -> CallerStandin:
+        """Return a caller of the daemon that has not loaded."""
+        return await connect_to(self.settings['n1'].front_address)
+
+    async def load(self) -> None:
+        """Let the store answer, and wait until the daemon has loaded."""
+        self.store.ignored_ips.clear()
+        await self.wait_until(lambda: self.daemons['n1']._state.is_loaded)
+
+    async def wait_until(self, is_met: Callable[[], bool]) -> None:
+        """Wait until a condition is met."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while not is_met():
+                await asyncio.sleep(0.02)
+
+    def targets(self) -> list[str]:
+        """Return the targets of the requests that the server ran."""
+        return [request.target for request in self.server.received]
+
+
+@asynccontextmanager
+async def _running_zone(**configuration: Any) -> AsyncIterator[_Zone]:
+    store, server = StoreStandin(), _TwoSpeedServer('i-1', slots=40)
+    store_address = store.listen()
+    await server.listen()
+    store.put('servers', 'i-1', server.make_entry('desk', 'a1'))
+    store.put('config', 'main', make_configuration(**configuration))
+    store.ignored_ips.add(_IPS['n1'])
+    [peer_port] = find_free_ports(1)
+    # The heartbeat interval of servers bounds how long the report that the
+    # store is available counts, and the apply time the age of a configuration.
+    bounds = evolve(
+        BOUNDS,
+        apply_time=5 * SECOND_NS,
+        server_heartbeat_interval=SECOND_NS * 6 // 5,
+    )
+    settings = {
+        name: make_settings(
+            store_address,
+            name=name,
+            ip=ip,
+            peer_port=peer_port,
+            seeds=(_IPS['n2'],),
+            bounds=bounds,
+        )
+        for name, ip in _IPS.items()
+    }
+    zone = _Zone(store, server, settings)
+    for number, (name, own) in enumerate(settings.items()):
+        daemon = EdgeDaemon(
+            own,
+            ObjectStore(store_address, own.ip),
+            PlatformHeaders(),
+            random=Random(number),
+        )
+        await daemon.start()
+        zone.daemons[name] = daemon
+    try:
+        presence = zone.daemons['n1']._presence
+        await zone.wait_until(
+            lambda: (
+                'n2' in presence.peers
+                and presence.peers['n2'].heartbeat.is_ready
+            )
+        )
+        yield zone
+    finally:
+        for daemon in zone.daemons.values():
+            await daemon.close()
+        server.close()
+        await store.close()
+
+
+def _run(
+    scenario: Callable[[_Zone], Awaitable[None]], **configuration: Any
+) -> None:
+    async def run_in_zone() -> None:
+        async with _running_zone(**configuration) as zone:
+            await scenario(zone)
+
+    run_scenario(run_in_zone)
+
+
+def test_stop_tells_a_busy_connection_of_a_daemon_that_has_loaded() -> None:
+    """Guard against sales cut on connections older than the configuration.
+
+    They stayed forwarded and were closed at the end of the grace period.
+    """
+
+    async def scenario(zone: _Zone) -> None:
+        caller = await zone.connect()
+        assert (await caller.fetch('/sale/1', method='POST')).status == 200
+        await zone.load()
+        stopping = asyncio.create_task(zone.daemons['n1'].stop())
+        await asyncio.sleep(0.2)
+        last = await caller.fetch('/sale/2', method='POST')
+        assert last.status == 200
+        assert last.headers.get('connection') == 'close'
+        await stopping
+        assert zone.targets() == ['/sale/1', '/sale/2']
+
+    _run(scenario)
+
+
+def test_loaded_daemon_serves_connections_that_it_had_forwarded() -> None:
+    """Guard against clients that depend on two daemons for good."""
+
+    async def scenario(zone: _Zone) -> None:
+        caller = await zone.connect()
+        assert (await caller.fetch('/read/1')).status == 200
+        await zone.load()
+        await zone.daemons.pop('n2').close()
+        assert (await caller.fetch('/read/2')).status == 200
+
+    _run(scenario)
+
+
+def test_request_late_in_a_stop_is_refused_before_it_runs() -> None:
+    """Guard against forwarded work that the end of the stop cuts.
+
+    A caller may not repeat it elsewhere, as it may have run.
+    """
+
+    async def scenario(zone: _Zone) -> None:
+        caller = await zone.connect()
+        assert (await caller.fetch('/read/0')).status == 200
+        stopping = asyncio.create_task(zone.daemons['n1'].stop())
+        await asyncio.sleep(2)
+        # The first request keeps the connection open, the second one is late.
+        caller.send('/read/slow')
+        await asyncio.sleep(0.8)
+        caller.send('/sale/late', 'POST', b'x')
+        assert (await caller.receive()).body == b'/read/slow'
+        late = await caller.receive()
+        assert late.status == 503
+        assert float(late.headers['retry-after']) > 0
+        await stopping
+        assert '/sale/late' not in zone.targets()
+
+    _run(scenario)
+
+
+@pytest.fixture
+def silent_entry(monkeypatch: pytest.MonkeyPatch) -> list[asyncio.StreamReader]:
+    """Replace the entry by one that accepts requests and never answers."""
+    accepted: list[asyncio.StreamReader] = []
+
+    async def accept(
+        reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
+    ) -> None:
+        accepted.append(reader)
+
+    async def listen() -> str:
+        server = await asyncio.start_server(accept, '127.0.0.1', 0)
+        return f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+
+    forward = forwarding.RequestForwarder.forward
+
+    async def forward_to_silent(self, caller, target, *arguments):
+        target = evolve(target, front_address=await listen())
+        await forward(self, caller, target, *arguments)
+
+    monkeypatch.setattr(
+        forwarding.RequestForwarder, 'forward', forward_to_silent
+    )
+    return accepted
+
+
+def test_frozen_entry_holds_a_request_for_the_timeout_of_its_route(
+    silent_entry: list[asyncio.StreamReader],
+) -> None:
+    """Guard against requests that hang at a daemon which has loaded since."""
+
+    async def scenario(zone: _Zone) -> None:
+        caller = await zone.connect()
+        caller.send('/sale/1', 'POST', b'x', X_Deadline_Ms='9000')
+        await zone.wait_until(lambda: bool(silent_entry))
+        started_at = asyncio.get_running_loop().time()
+        await zone.load()
+        response = await caller.receive()
+        assert response.status == 504
+        assert asyncio.get_running_loop().time() - started_at < 5
+
+    _run(scenario)
+
+
+def test_frozen_entry_holds_a_request_for_the_deadline_of_its_caller(
+    silent_entry: list[asyncio.StreamReader],
+) -> None:
+    """Guard against requests that wait for a frozen daemon without end."""
+
+    async def scenario(zone: _Zone) -> None:
+        caller = await zone.connect()
+        response = await caller.fetch('/read/1', X_Deadline_Ms='600')
+        assert response.status == 504
+
+    _run(scenario)
+
+
+def test_sale_whose_entry_dies_is_not_sent_again() -> None:
+    """Guard against a sale that runs twice, or is said not to have run."""
+
+    async def scenario(zone: _Zone) -> None:
+        caller = await zone.connect()
+        caller.send('/sale/slow', 'POST', b'x')
+        await zone.wait_until(lambda: bool(zone.server._writers))
+        await asyncio.sleep(0.3)
+        await zone.daemons.pop('n2').close()
+        response = await caller.receive()
+        assert response.status == 502
+        await asyncio.sleep(_SLOW_S)
+        assert len(zone.targets()) <= 1
+
+    _run(scenario)
+
+
+def test_forwarded_request_is_not_forwarded_again() -> None:
+    """Guard against requests that circle between daemons."""
+
+    async def scenario(zone: _Zone) -> None:
+        caller = await zone.connect()
+        response = await caller.fetch(
+            '/read/1', **{'Geraniumshelf-Forwarded': '1'}
+        )
+        assert response.status == 503
+        assert not zone.targets()
+
+    _run(scenario)
+
+
+def test_forwarded_request_reaches_a_server_like_any_other() -> None:
+    """Guard against keys, marks and wrong deadlines at servers."""
+
+    async def scenario(zone: _Zone) -> None:
+        caller = await zone.connect()
+        response = await caller.fetch(
+            '/photo/1?a=b', method='PUT', body=b'x' * 100_000
+        )
+        assert response.status == 200
+        [received] = zone.server.received
+        assert received.method == 'PUT'
+        assert received.target == '/photo/1?a=b'
+        assert received.body == b'x' * 100_000
+        assert received.headers['x-tenant'] == 'shop'
+        assert received.headers['x-request-id'] == 'id-/photo/1?a=b'
+        assert 0 < int(received.headers['x-deadline-ms']) <= 2000
+        assert not {'x-api-key', 'geraniumshelf-forwarded'} & set(
+            received.headers
+        )
+
+    _run(scenario)
+
+
+def test_refusal_of_an_entry_keeps_its_code() -> None:
+    """Guard against refusals whose cause a caller can't tell."""
+
+    async def scenario(zone: _Zone) -> None:
+        caller = await zone.connect()
+        unknown = await caller.fetch('/nowhere/1')
+        assert unknown.status == 404
+        assert unknown.headers['geraniumshelf-code'] == '2003'
+        assert unknown.headers['geraniumshelf-ran'] == 'not-run'
+
+    _run(scenario)
+
+
+def test_work_of_a_forwarded_caller_that_left_is_cancelled() -> None:
+    """Guard against slots used for responses that no caller reads."""
+
+    async def scenario(zone: _Zone) -> None:
+        zone.server.work_s = _SLOW_S
+        caller = await zone.connect()
+        caller.send('/read/1')
+        await zone.wait_until(lambda: bool(zone.server.received))
+        caller.close()
+        await zone.wait_until(lambda: zone.server.aborted_count == 1)
+
+    paths = [make_path('/read/', timeout_s=4)]
+    _run(scenario, hosts=[{'host': HOST, 'paths': paths}])
+
+
+def test_cut_response_of_an_entry_is_not_complete() -> None:
+    """Guard against a long response that looks whole without its end."""
+
+    async def scenario(zone: _Zone) -> None:
+        body = b'x' * 2_000_000
+
+        def respond(request: ReceivedRequest) -> bytes:
+            head = (
+                'HTTP/1.1 200 x\r\nX-Response-Signature: s\r\n'
+                f'X-Request-Id: {request.headers["x-request-id"]}\r\n'
+                f'Content-Length: {2 * len(body)}\r\n\r\n'
+            )
+            return head.encode() + body
+
+        zone.server.make_response = respond
+        caller = await zone.connect()
+        caller.send('/read/1')
+        await caller.reader.readuntil(b'\r\n\r\n')
+        await zone.daemons.pop('n2').close()
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            async with asyncio.timeout(TIMEOUT_S):
+                await caller.reader.readexactly(2 * len(body))
+
+    _run(scenario)
