Guard answers that are due on the connections of a daemon that loads

Cause: copied bytes don't tell how many answers are due, so the forwarder took a connection for idle 0.3 s after the first bytes of any answer.

Ruled out: the servers (they run the second look-up and drop it as its connection ends).

Why it works: a connection is closed when no request is in flight and no byte waits to be read; the last answer says so.

--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -45,6 +45,30 @@
     run_in_zone(scenario)
 
 
+@pytest.mark.parametrize('is_loaded', [False, True])
+def test_stop_waits_for_all_answers_of_a_pipelined_connection(
+    is_loaded: bool,
+) -> None:
+    """Guard against a second answer lost because the first one had begun."""
+
+    async def scenario(zone: Zone) -> None:
+        caller = await zone.connect()
+        assert (await caller.fetch('/read/0')).status == 200
+        if is_loaded:
+            await zone.load()
+        stopping = asyncio.create_task(zone.daemons['n1'].stop())
+        await asyncio.sleep(1.8)
+        caller.send('/read/1')
+        caller.send('/read/slow')
+        assert (await caller.receive()).body == b'/read/1'
+        last = await caller.receive()
+        assert last.body == b'/read/slow'
+        assert last.headers.get('connection') == 'close'
+        await stopping
+
+    run_in_zone(scenario)
+
+
 def test_request_late_in_a_stop_is_refused_before_it_runs() -> None:
     """Guard against forwarded work that the end of the stop cuts.
 
@@ -70,6 +94,25 @@
     run_in_zone(scenario)
 
 
+def test_change_of_the_entry_cuts_no_answer() -> None:
+    """Guard against connections closed as idle while an answer is due."""
+
+    async def scenario(zone: Zone) -> None:
+        caller = await zone.connect()
+        caller.send('/read/1')
+        caller.send('/read/slow')
+        assert (await caller.receive()).status == 200
+        # The entry counts as leaving, so it is no target any more.
+        stopping = asyncio.create_task(zone.daemons.pop('n2').stop())
+        await asyncio.sleep(0.1)
+        other = await zone.connect()
+        assert (await other.fetch('/read/other')).status == 503
+        assert (await caller.receive()).body == b'/read/slow'
+        await stopping
+
+    run_in_zone(scenario)
+
+
 @pytest.fixture
 def silent_entry(monkeypatch: pytest.MonkeyPatch) -> list[asyncio.StreamReader]:
     """Replace the entry by one that accepts requests and never answers."""
