Count an arriving head as use of a connection

Seen by callers: a request whose head is arriving when the idle timeout of its connection ends is cut without an answer.

Cause: the idle timeout counted from the last answer alone; a request joined the count only when its head was complete.

Change: it counts from the first byte of a head as well. A head that never ends is closed after one more idle timeout, or by the timeout of heads where the budget is bounded.

Result: test_head_that_has_begun_keeps_its_connection failed before the change (an empty response) and passes now; the other tests of the module pass.

--- a/packages/daemon/src/geraniumshelf_daemon/front/connection.py
+++ b/packages/daemon/src/geraniumshelf_daemon/front/connection.py
@@ -220,7 +220,10 @@
             return
         remaining_s = self._idle_timeout_s()
         if not self._in_flight:
-            remaining_s += self._watch.last_used_at - self._now()
+            # A request that has begun to arrive uses the connection, too.
+            head_since = self._stream.head_since or 0
+            last_used_at = max(self._watch.last_used_at, head_since)
+            remaining_s += last_used_at - self._now()
         if remaining_s <= 0:
             self._stream.close()
             return
--- a/tests/daemon/front/test_connection.py
+++ b/tests/daemon/front/test_connection.py
@@ -111,6 +111,31 @@
     run(scenario)
 
 
+def test_head_that_has_begun_keeps_its_connection() -> None:
+    """Guard against a connection closed as idle while a request arrives."""
+
+    async def serve(caller: Caller) -> None:
+        await caller.response_writer.send_response(
+            200, 'OK', _headers(), _RESPONSE_BODY
+        )
+
+    async def scenario() -> None:
+        server = FrontServer(serve, idle_timeout_s=0.4)
+        port = server.listen('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        request = _REQUEST % 1
+        await asyncio.sleep(0.2)
+        writer.write(request[:10])
+        await asyncio.sleep(0.3)
+        writer.write(request[10:])
+        response = await reader.read()
+        assert response.endswith(_RESPONSE_BODY)
+        writer.close()
+        await server.close()
+
+    run(scenario)
+
+
 def test_request_that_was_read_keeps_its_connection() -> None:
     """A stop that counts only running tasks breaks off a request just read."""
 
