Bound what is kept of a response of the store

Reported by operators of similar systems: a sender of bytes without end took all memory of the machine that had called it, and the requests of other clients there ended with it. It happens here with the store as the sender.

Cause: the client of the store kept whole responses and took tornado's bound of 100 MB on one of them; several calls run at once, and each is tried again soon after it fails.

A watch whose changes are longer is answered by a list, so that nothing is lost.

Why it works: the bound is counted as the body arrives, whatever its framing.

--- a/packages/core/src/geraniumshelf_core/errors.py
+++ b/packages/core/src/geraniumshelf_core/errors.py
@@ -132,6 +132,10 @@
     """The connection of a call was refused or closed before its response."""
 
 
+class PlatformResponseTooLong(PlatformError):
+    """The response of a call is longer than the caller can use."""
+
+
 class PeerError(GeraniumshelfError):
     """A peer could not be reached, refused, or sent a malformed frame."""
 
--- a/packages/daemon/src/geraniumshelf_daemon/platform/client.py
+++ b/packages/daemon/src/geraniumshelf_daemon/platform/client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from contextvars import ContextVar
+from io import BytesIO
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -12,9 +13,9 @@
     TCP_KEEPINTVL,
     socket,
 )
+from sys import maxsize
 from typing import Any, Final
 
-from attrs import define, field
 from tornado.httpclient import (
     AsyncHTTPClient,
     HTTPClientError,
@@ -30,13 +31,13 @@
 from tornado.tcpclient import TCPClient
 
 from geraniumshelf_core.errors import (
-    PlatformConnectionLost,
     PlatformError,
     ResultCode,
 )
 from geraniumshelf_daemon.observability.metric_names import Metric
 from geraniumshelf_daemon.observability.metrics import count_metric
 from geraniumshelf_daemon.observability.traffic import TrafficCounters
+from geraniumshelf_daemon.platform.call import PlatformCall
 
 REQUEST_TIMEOUT_S: Final = 2.0
 # Time for the body after the head of a response: a page of 1 MB takes 1.7 s
@@ -60,45 +61,8 @@
     """Ignore the start of a response."""
 
 
-@define(eq=False)
-class _Call:
-    """A call in flight.
-
-    Attributes:
-        on_response_start: Called when the head of the response arrives.
-        response_started: Done when the head of the response arrives.
-        stream: Connection of the call, once it is open.
-        is_abandoned: Whether the caller no longer waits for the response.
-    """
-
-    on_response_start: Callable[[], None]
-    response_started: asyncio.Future[None] = field(
-        factory=lambda: asyncio.get_running_loop().create_future()
-    )
-    stream: IOStream | None = None
-    is_abandoned: bool = False
-
-    def attach(self, stream: IOStream) -> None:
-        """Store the connection; close it if the call was abandoned."""
-        self.stream = stream
-        if self.is_abandoned:
-            stream.close()
-
-    def record_head(self, _line: str) -> None:
-        """Record that the response has started."""
-        if not self.response_started.done():
-            self.response_started.set_result(None)
-            self.on_response_start()
-
-    def abandon(self) -> None:
-        """Close the connection, so that a long response is not received."""
-        self.is_abandoned = True
-        if self.stream is not None:
-            self.stream.close()
-
-
 # The call for which a connection is being opened.
-_current_call: ContextVar[_Call] = ContextVar('_current_call')
+_current_call: ContextVar[PlatformCall] = ContextVar('_current_call')
 
 
 class PlatformClient:
@@ -107,13 +71,15 @@
     The code is ``PLATFORM_UNREACHABLE`` if the call was refused, lost or timed
     out and for a 5xx status, and ``PLATFORM_PROTOCOL`` for any other status
     that has no result code. The error is a ``PlatformConnectionLost`` if the
-    connection was refused or closed.
+    connection was refused or closed, and a ``PlatformResponseTooLong`` if the
+    response was.
     """
 
     def __init__(
         self,
         base_url: str,
         codes: Mapping[int, ResultCode],
+        max_body_bytes: int,
         *,
         source_address: str | None = None,
         check_headers: Callable[[HTTPHeaders], None] | None = None,
@@ -124,6 +90,7 @@
             base_url: URL without a trailing slash, such as
                 ``http://10.0.0.9:80``.
             codes: Result codes by HTTP status.
+            max_body_bytes: Longest body of a response that is kept.
             source_address: Local IP address of outgoing connections.
             check_headers: Called with the headers of each response, including
                 those of failures; may raise ``PlatformError``.
@@ -132,8 +99,12 @@
         self.traffic = TrafficCounters()
         self._base_url = base_url
         self._codes = codes
+        self._max_body_bytes = max_body_bytes
         self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=_MAX_CALLS
+            force_instance=True,
+            max_clients=_MAX_CALLS,
+            # The length that a call counts is the bound.
+            max_body_size=maxsize,
         )
         self._client.tcp_client = _TrackedTCPClient(source_address)
 
@@ -176,18 +147,20 @@
         )
         count_metric(Metric.PLATFORM_CALLS)
         self.traffic.count_sent(len(path) + len(body or b''))
+        pending = PlatformCall(on_response_start, self._max_body_bytes)
         try:
-            response = await self._fetch(request, timeout_s, on_response_start)
+            response = await self._fetch(request, pending, timeout_s)
         except (HTTPStreamClosedError, ConnectionError) as error:
             count_metric(Metric.PLATFORM_FAILURES)
-            raise PlatformConnectionLost(
-                ResultCode.PLATFORM_UNREACHABLE, f'{method} {path}: {error}'
-            ) from error
+            raise pending.explain_loss(f'{method} {path}: {error}') from error
         except (HTTPClientError, HTTPInputError, OSError) as error:
             count_metric(Metric.PLATFORM_FAILURES)
             raise PlatformError(
                 ResultCode.PLATFORM_UNREACHABLE, f'{method} {path}: {error}'
             ) from error
+        if pending.is_too_long:
+            raise pending.explain_loss(path)
+        response.buffer = BytesIO(pending.body)
         self.traffic.count_received(len(response.body))
         if self._check_headers is not None:
             self._check_headers(response.headers)
@@ -195,14 +168,11 @@
         return response
 
     async def _fetch(
-        self,
-        request: HTTPRequest,
-        timeout_s: float,
-        on_response_start: Callable[[], None],
+        self, request: HTTPRequest, call: PlatformCall, timeout_s: float
     ) -> HTTPResponse:
         """Return the response, whose head must arrive within the timeout."""
-        call = _Call(on_response_start)
         request.header_callback = call.record_head
+        request.streaming_callback = call.receive
         token = _current_call.set(call)
         try:
             fetched = self._client.fetch(request, raise_error=False)
--- a/packages/daemon/src/geraniumshelf_daemon/platform/http.py
+++ b/packages/daemon/src/geraniumshelf_daemon/platform/http.py
@@ -25,6 +25,9 @@
     413: ResultCode.OBJECT_TOO_LARGE,
 }
 
+# The claims of 4,700 daemons take 1 MB; 256 MB are for the whole daemon.
+_MAX_BODY_BYTES: Final = 16_777_216
+
 
 class HttpPlatform:
     """Implements ``Platform`` over the platform's HTTP API.
@@ -46,7 +49,7 @@
             source_address: Local IP address of outgoing connections.
         """
         self._client = PlatformClient(
-            base_url, _CODES, source_address=source_address
+            base_url, _CODES, _MAX_BODY_BYTES, source_address=source_address
         )
 
     @property
--- a/tests/platform/faulty_servers.py
+++ b/tests/platform/faulty_servers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from attrs import define, field
-from tests.platform.server_standin import ServerStandin
+from tests.platform.server_standin import ReceivedRequest, ServerStandin
 
 SIGNED = 'X-Response-Signature: s\r\n'
 
@@ -69,15 +69,10 @@
     ) -> None:
         body = ReceivedBody()
         try:
-            head = (await reader.readuntil(b'\r\n\r\n')).decode('latin1')
-            [request_id] = [
-                line.partition(': ')[2]
-                for line in head.split('\r\n')
-                if line.lower().startswith('x-request-id:')
-            ] or ['']
+            head = await reader.readuntil(b'\r\n\r\n')
             self.bodies.append(body)
             await self._read_until(self.early_bytes, body, reader)
-            response = build_response(request_id, b'early')
+            response = build_response(_find_id(head).decode(), b'early')
             writer.write(response.replace(b' 200 ', b' %d ' % self.status))
             # It reads on a while later.
             await asyncio.sleep(0.2)
@@ -100,3 +95,47 @@
             if not length:
                 body.has_end = True
                 return
+
+
+@define(eq=False)
+class EndlessServer(ServerStandin):
+    """Sends a start, then the same bytes until the connection is closed.
+
+    Attributes:
+        start: First bytes; ``{id}`` stands for the id of the request.
+        repeated: Bytes that follow without end.
+        pause_s: Time between two of these, seconds.
+        sent_bytes: Number of bytes sent without end.
+        is_cut: Whether a connection was closed meanwhile.
+    """
+
+    start: bytes = b''
+    repeated: bytes = b''
+    pause_s: float = 0
+    sent_bytes: int = 0
+    is_cut: bool = False
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            head = await reader.readuntil(b'\r\n\r\n')
+            self.received.append(ReceivedRequest('GET', '/', {}, head))
+            writer.write(self.start.replace(b'{id}', _find_id(head)))
+            while True:
+                writer.write(self.repeated)
+                self.sent_bytes += len(self.repeated)
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.is_cut = True
+        finally:
+            writer.close()
+
+
+def _find_id(head: bytes) -> bytes:
+    for line in head.split(b'\r\n'):
+        name, _, text = line.partition(b': ')
+        if name.lower() == b'x-request-id':
+            return text
+    return b''
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from contextlib import suppress
 from copy import deepcopy
 from enum import Enum, unique
 from typing import Any
@@ -9,6 +10,7 @@
 from attrs import define, field, frozen
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest, ResponseStartLine
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
 _MAX_PAGE_ITEMS = 500
@@ -23,12 +25,14 @@
         BUSY: With status 503.
         SILENT: Not at all; the connection stays open.
         RESET: Not at all; the connection is closed.
+        ENDLESS: With the bytes ``endless``, the last of them without end.
     """
 
     SOUND = 'sound'
     BUSY = 'busy'
     SILENT = 'silent'
     RESET = 'reset'
+    ENDLESS = 'endless'
 
 
 @frozen
@@ -50,6 +54,8 @@
         calls: Method and path of every call.
         era: Sent in all responses; each restore of a snapshot raises it.
         ignored_ips: IP addresses of callers that get no response.
+        endless: First bytes of an endless response, and what follows; if
+            that is empty, the response ends.
     """
 
     behaviour: StoreBehaviour = StoreBehaviour.SOUND
@@ -57,6 +63,7 @@
     calls: list[str] = field(factory=list)
     era: int = 1
     ignored_ips: set[str] = field(factory=set)
+    endless: tuple[bytes, bytes] = (b'', b'')
     _objects: dict[tuple[str, str], dict[str, Any]] = field(factory=dict)
     _events: list[tuple[int, str, dict[str, Any], bool]] = field(factory=list)
     _compacted_revision: int = 0
@@ -157,6 +164,9 @@
             case StoreBehaviour.RESET:
                 request.connection.stream.close()
                 return
+            case StoreBehaviour.ENDLESS:
+                await self._send_endless(request)
+                return
             case StoreBehaviour.BUSY:
                 status, body = 503, {}
             case _:
@@ -173,6 +183,14 @@
             )
             connection.finish()
 
+    async def _send_endless(self, request: HTTPServerRequest) -> None:
+        stream = request.connection.stream
+        start, repeated = self.endless
+        with suppress(StreamClosedError):
+            await stream.write(start)
+            while repeated:
+                await stream.write(repeated)
+
     async def _handle(
         self, request: HTTPServerRequest
     ) -> tuple[int, dict[str, Any]]:
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -6,6 +6,7 @@
 import pytest
 from tests.platform.faulty_servers import (
     SIGNED,
+    EndlessServer,
     TruncatingServer,
     build_response,
 )
@@ -22,33 +23,6 @@
 _LONG_BODY_BYTES = 400_000
 
 
-class _EndlessServer(ServerStandin):
-    """Sends a start, then the same bytes until the connection is closed."""
-
-    start: bytes = b''
-    repeated: bytes = b''
-    pause_s: float = 0
-    sent_bytes: int = 0
-    is_cut: bool = False
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            head = await reader.readuntil(b'\r\n\r\n')
-            self.received.append(ReceivedRequest('GET', '/', {}, head))
-            writer.write(self.start)
-            while True:
-                writer.write(self.repeated)
-                self.sent_bytes += len(self.repeated)
-                await writer.drain()
-                await asyncio.sleep(self.pause_s)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            self.is_cut = True
-        finally:
-            writer.close()
-
-
 async def _post(harness: EdgeHarness, target: str) -> int:
     caller = await harness.connect()
     return (await caller.fetch(target, method='POST')).status
@@ -144,7 +118,7 @@
     """
 
     async def scenario() -> None:
-        server = _EndlessServer('i-1')
+        server = EndlessServer('i-1')
         server.start, server.repeated = start, repeated
         server.pause_s = pause_s
         async with running_harness(
@@ -178,7 +152,7 @@
     )
 
     async def scenario() -> None:
-        server = _EndlessServer('i-1')
+        server = EndlessServer('i-1')
         server.start, server.repeated = (
             _CHUNKED,
             b'1000\r\n%s\r\n' % (b'x' * 4096),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,10 +8,12 @@
 from geraniumshelf_core.errors import (
     PlatformConnectionLost,
     PlatformError,
+    PlatformResponseTooLong,
     ResultCode,
 )
 from geraniumshelf_core.history.eras import StoreRevision
 from geraniumshelf_daemon.edge.interface import RecordKind
+from geraniumshelf_platform import store as store_module
 from geraniumshelf_platform.store import ObjectStore
 
 
@@ -67,3 +69,40 @@
         await standin.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('excess', [-1, 0, 1, 70_000])
+@pytest.mark.parametrize('is_chunked', [False, True])
+def test_long_changes_are_listed_instead(
+    excess: int, *, is_chunked: bool
+) -> None:
+    """Guard against a watch that never gets past a long response."""
+
+    async def scenario() -> None:
+        standin = StoreStandin(StoreBehaviour.ENDLESS)
+        size = store_module._MAX_BODY_BYTES + excess
+        page = b'{"events": [], "store_revision": 9}'.ljust(size)
+        frame = b'Content-Length: %d\r\n\r\n%s' % (size, page)
+        if is_chunked:
+            frame = b'Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n' % (
+                size,
+                page,
+            )
+            frame += b'0\r\n\r\n'
+        standin.endless = (b'HTTP/1.1 200 x\r\n' + frame, b'')
+        store = ObjectStore(standin.listen(), '127.0.0.1')
+        watch = store.watch_records(
+            RecordKind.SERVERS, StoreRevision(0, 1), 1, lambda: None
+        )
+        if excess <= 0:
+            assert (await watch).revision == StoreRevision(0, 9)
+        else:
+            with pytest.raises(PlatformError) as caught:
+                await watch
+            assert caught.value.code is ResultCode.WATCH_TOO_OLD
+            with pytest.raises(PlatformResponseTooLong):
+                await store.list_records(RecordKind.SERVERS)
+        store.close()
+        await standin.close()
+
+    asyncio.run(scenario())
--- a/tests/process/crowds/harness.py
+++ b/tests/process/crowds/harness.py
@@ -4,12 +4,12 @@
 import json
 import os
 import sys
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
-from attrs import define, field
+from attrs import asdict, define, field, frozen
 from tests.platform.harness import (
     HOST,
     CallerResponse,
@@ -22,10 +22,6 @@
 from tests.platform.store_standin import StoreStandin
 
 TIMEOUT_S = 60.0
-# The process may use all of the memory and descriptors that its settings name.
-# A daemon without callers uses 35 MB and 16 descriptors.
-MEMORY_MB = 96
-MAX_FDS = 160
 # Length of the responses of the servers to ``/read/large``.
 LARGE_BYTES = 200_000
 _SAMPLE_INTERVAL_S = 0.01
@@ -33,6 +29,21 @@
 _KIB_PER_MB = 1024
 
 
+@frozen
+class ProcessLimits:
+    """What the process may use, all of which its settings name.
+
+    A daemon without callers uses 35 MB and 16 descriptors.
+
+    Attributes:
+        memory_mb: Memory, MB.
+        max_fds: Open descriptors.
+    """
+
+    memory_mb: int = 96
+    max_fds: int = 160
+
+
 @define(eq=False)
 class CrowdHarness:
     """A daemon process and the callers that trouble it.
@@ -40,12 +51,16 @@
     Attributes:
         addresses: Address of each port, by the name of the port.
         process: The process of the daemon.
+        store: The store that it follows.
+        limits: What the process may use.
         max_open_fds: Highest number of open descriptors that was seen.
         writers: Connections of the crowd, kept open until the end.
     """
 
     addresses: dict[str, str]
     process: asyncio.subprocess.Process
+    store: StoreStandin
+    limits: ProcessLimits
     max_open_fds: int = 0
     writers: list[asyncio.StreamWriter] = field(factory=list)
 
@@ -91,8 +106,9 @@
         response = await self._fetch_until_served()
         assert self.process.returncode is None
         assert response.body == b'/read/ordinary'
-        assert self._read_max_memory_mb() <= MEMORY_MB
-        assert self.max_open_fds <= MAX_FDS
+        max_memory_mb = self._read_max_memory_mb()
+        assert max_memory_mb <= self.limits.memory_mb
+        assert self.max_open_fds <= self.limits.max_fds
 
     async def _fetch_until_served(self) -> CallerResponse:
         # The servers are busy with the requests of the crowd, so the daemon
@@ -119,6 +135,9 @@
         return int(line.split()[1]) / _KIB_PER_MB
 
 
+_LIMITS = ProcessLimits()
+
+
 def make_head(method: str, target: str, **fields: str) -> bytes:
     """Return the head of a request with a key."""
     lines = [
@@ -134,12 +153,17 @@
 def run_crowd(
     folder: Path,
     scenario: Callable[[CrowdHarness], Coroutine[Any, Any, None]],
+    faulty: Sequence[ServerStandin] = (),
+    limits: ProcessLimits = _LIMITS,
 ) -> None:
-    """Run a scenario with a daemon; fail if it takes too long."""
+    """Run a scenario with a daemon; fail if it takes too long.
+
+    Each faulty server has a service and a route of its own, ``/NAME/``.
+    """
 
     async def run() -> None:
         async with asyncio.timeout(TIMEOUT_S):
-            async with _running_harness(folder) as harness:
+            async with _running_harness(folder, faulty, limits) as harness:
                 await scenario(harness)
 
     asyncio.run(run())
@@ -156,7 +180,7 @@
     return head.encode() + bytes(LARGE_BYTES)
 
 
-def _make_crowd_configuration() -> dict[str, Any]:
+def _make_crowd_configuration(names: Sequence[str]) -> dict[str, Any]:
     limits = {
         'max_header_bytes': 16384,
         'max_body_bytes': 67_108_864,
@@ -166,13 +190,19 @@
     paths = [
         make_path('/read/', timeout_s=15),
         make_path('/photo/', 'upload', timeout_s=15),
+        *(make_path(f'/{name}/', timeout_s=4, service=name) for name in names),
     ]
-    return make_configuration(
+    configuration = make_configuration(
         limits=limits, hosts=[{'host': HOST, 'paths': paths}]
     )
+    [service] = configuration['services']
+    configuration['services'] += [{**service, 'name': name} for name in names]
+    return configuration
 
 
-def _make_settings(store_address: str, ports: list[int]) -> dict[str, Any]:
+def _make_settings(
+    store_address: str, ports: list[int], limits: ProcessLimits
+) -> dict[str, Any]:
     listen = ('front', 'ready', 'directory')
     return {
         'node_name': 'n1',
@@ -184,7 +214,7 @@
             for name, port in zip(listen, ports, strict=False)
         },
         'internal_ports': [ports[3]],
-        'limits': {'memory_mb': MEMORY_MB, 'max_fds': MAX_FDS},
+        'limits': asdict(limits),
         'bounds': {
             'contact_s': 3,
             'grace_s': 4,
@@ -198,13 +228,21 @@
 
 
 @asynccontextmanager
-async def _running_harness(folder: Path) -> AsyncIterator[CrowdHarness]:
+async def _running_harness(
+    folder: Path, faulty: Sequence[ServerStandin], limits: ProcessLimits
+) -> AsyncIterator[CrowdHarness]:
     store = StoreStandin()
     server = ServerStandin('s1', slots=1000, make_response=_respond)
     await server.listen()
-    settings = _make_settings(store.listen(), ports := find_free_ports(5))
+    settings = _make_settings(
+        store.listen(), ports := find_free_ports(5), limits
+    )
     store.put('servers', 's1', server.make_entry('desk', 'a1'))
-    store.put('config', 'main', _make_crowd_configuration())
+    for one in faulty:
+        await one.listen()
+        store.put('servers', one.name, one.make_entry(one.name, 'a1'))
+    names = [one.name for one in faulty]
+    store.put('config', 'main', _make_crowd_configuration(names))
     path = folder / 'settings.json'
     path.write_text(json.dumps(settings), 'utf-8')
     with (folder / 'log').open('wb') as log:
@@ -224,7 +262,7 @@
         **settings['listen'],
         'metrics': f'127.0.0.1:{ports[4]}',
     }
-    harness = CrowdHarness(addresses, process)
+    harness = CrowdHarness(addresses, process, store, limits)
     sampler = asyncio.create_task(harness.sample_fds())
     try:
         await _wait_until_serving(harness)
@@ -236,7 +274,8 @@
         await process.wait()
         for writer in harness.writers:
             writer.close()
-        server.close()
+        for one in (server, *faulty):
+            one.close()
         await store.close()
 
 
